foxtaillug: the thin whole path as separate processes

Cause: nothing stood yet. Change: pure decision packages (placer, leaser, ramper, admitter, shedder, booker, quarantiner, drainer, versioner, arbiter), the daemon around them, stand-ins, the operators' client, and a script that starts the platform, two engines, a booking service and three daemons on loopback. No tests yet.

--- /dev/null
+++ b/contract/bundler/bundler.go
@@ -0,0 +1,220 @@
+// Package bundler turns a checked configuration document into the values that
+// operators publish, and those values back into a document.
+//
+// A bundle is a manifest and parts. A part is named by the digest of its
+// bytes, so it never changes and may be fetched from anywhere; the manifest
+// lists the parts of one version. A host that has every part and finds every
+// digest right has the whole version; there is no half of one.
+package bundler
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+
+	"foxtaillug.org/contract"
+	"foxtaillug.org/contract/parser"
+	"foxtaillug.org/scheduler/versioner"
+)
+
+const (
+	// ManifestKey is the key under which operators publish the manifest.
+	ManifestKey = "foxtail/manifest"
+	// PartKeyPrefix precedes the digest in the key of a part.
+	PartKeyPrefix = "foxtail/parts/"
+	// format is the version of the manifest's own form.
+	format = 1
+	// itemsPerPart keeps parts to some tens of KB, far below the platform's
+	// limit of a megabyte.
+	itemsPerPart = 200
+)
+
+// ErrCorrupt says that a part's bytes are not what the manifest names.
+var ErrCorrupt = eris.New("corrupt bundle")
+
+// Manifest lists the parts of one version. Its fields are its wire format.
+type Manifest struct {
+	Format  int      `json:"format"`
+	Version uint64   `json:"version"`
+	Parts   []string `json:"parts"`
+}
+
+// Bundle is one version in the form in which it is published.
+type Bundle struct {
+	manifest []byte
+	digests  []string
+	parts    map[string][]byte
+	version  versioner.Version
+}
+
+// Manifest returns the bytes of the manifest.
+func (b *Bundle) Manifest() []byte { return b.manifest }
+
+// Digests returns the digests of the parts, in order.
+func (b *Bundle) Digests() []string { return b.digests }
+
+// Part returns the bytes of a part, or nil.
+func (b *Bundle) Part(digest string) []byte { return b.parts[digest] }
+
+// Version returns the version's number and the digest of its manifest.
+func (b *Bundle) Version() versioner.Version { return b.version }
+
+// Digest returns the name of some bytes.
+func Digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
+// Encode makes the bundle of a document.
+func Encode(doc contract.Document) (b *Bundle, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "encode bundle")
+		}
+	}()
+	b = &Bundle{parts: make(map[string][]byte)}
+	for _, part := range split(doc) {
+		text, err := json.Marshal(part)
+		if err != nil {
+			return nil, err
+		}
+		digest := Digest(text)
+		b.parts[digest] = text
+		b.digests = append(b.digests, digest)
+	}
+	b.manifest, err = json.Marshal(Manifest{Format: format, Version: doc.Version, Parts: b.digests})
+	if err != nil {
+		return nil, err
+	}
+	b.version = versioner.NewVersion(doc.Version, Digest(b.manifest))
+	return b, nil
+}
+
+// split divides a document so that a small change renews few parts.
+func split(doc contract.Document) []contract.Document {
+	rest := doc
+	rest.Version, rest.Upstreams, rest.Workspaces, rest.Drains = 0, nil, nil, contract.Drains{}
+	parts := []contract.Document{rest, {Drains: doc.Drains}}
+	for _, chunk := range lo.Chunk(doc.Upstreams, itemsPerPart) {
+		parts = append(parts, contract.Document{Upstreams: chunk})
+	}
+	for _, chunk := range lo.Chunk(doc.Workspaces, itemsPerPart) {
+		parts = append(parts, contract.Document{Workspaces: chunk})
+	}
+	return parts
+}
+
+// ReadManifest reads a manifest and returns the version it stands for.
+func ReadManifest(text []byte) (m Manifest, v versioner.Version, err error) {
+	if err := json.Unmarshal(text, &m); err != nil {
+		return m, v, eris.Wrap(err, "read manifest")
+	}
+	if m.Format != format {
+		return m, v, eris.Errorf("read manifest: format %d, want %d", m.Format, format)
+	}
+	if m.Version == 0 || len(m.Parts) == 0 {
+		return m, v, eris.New("read manifest: no version or no parts")
+	}
+	return m, versioner.NewVersion(m.Version, Digest(text)), nil
+}
+
+// Open puts a bundle together and checks all of it: the digest of every part,
+// and the document they make.
+func Open(manifest []byte, part func(digest string) ([]byte, error)) (b *Bundle, dir *contract.Directory, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "open bundle")
+		}
+	}()
+	m, v, err := ReadManifest(manifest)
+	if err != nil {
+		return nil, nil, err
+	}
+	b = &Bundle{manifest: manifest, digests: m.Parts, parts: make(map[string][]byte), version: v}
+	var doc contract.Document
+	for _, digest := range m.Parts {
+		text, err := part(digest)
+		if err != nil {
+			return nil, nil, err
+		}
+		if Digest(text) != digest {
+			return nil, nil, eris.Wrapf(ErrCorrupt, "part %s", digest)
+		}
+		b.parts[digest] = text
+		if err := merge(&doc, text); err != nil {
+			return nil, nil, err
+		}
+	}
+	doc.Version = m.Version
+	if problems := parser.Check(doc); len(problems) > 0 {
+		return nil, nil, eris.Wrapf(ErrCorrupt, "%s: %s, and %d problems more", problems[0].Path(), problems[0].Message(), len(problems)-1)
+	}
+	dir, err = contract.NewDirectory(doc)
+	return b, dir, err
+}
+
+// merge adds a part to a document.
+func merge(doc *contract.Document, text []byte) error {
+	upstreams, workspaces := doc.Upstreams, doc.Workspaces
+	doc.Upstreams, doc.Workspaces = nil, nil
+	if err := json.Unmarshal(text, doc); err != nil {
+		return eris.Wrap(err, "read part")
+	}
+	doc.Upstreams = append(upstreams, doc.Upstreams...)
+	doc.Workspaces = append(workspaces, doc.Workspaces...)
+	return nil
+}
+
+// Diff describes in words what a document changes, one line per change.
+func Diff(from, to contract.Document) []string {
+	var lines []string
+	lines = append(lines, diffSection("upstream", from.Upstreams, to.Upstreams, func(u contract.Upstream) string { return u.Name })...)
+	lines = append(lines, diffSection("workspace", from.Workspaces, to.Workspaces, func(w contract.Workspace) string { return w.Name })...)
+	lines = append(lines, diffSection("tier", from.Tiers, to.Tiers, func(t contract.Tier) string { return t.Name })...)
+	lines = append(lines, diffSection("model", from.Models, to.Models, func(m contract.Model) string { return m.Name })...)
+	lines = append(lines, diffSection("service", from.Services, to.Services, func(s contract.Service) string { return s.Name })...)
+	lines = append(lines, diffSection("failure domain", from.Domains, to.Domains, func(d contract.Domain) string { return d.Name })...)
+	lines = append(lines, diffDrains("failure domain", from.Drains.Domains, to.Drains.Domains)...)
+	lines = append(lines, diffDrains("upstream", from.Drains.Upstreams, to.Drains.Upstreams)...)
+	lines = append(lines, diffDrains("host", from.Drains.Hosts, to.Drains.Hosts)...)
+	if fmt.Sprint(from.Limits) != fmt.Sprint(to.Limits) {
+		lines = append(lines, "limits change")
+	}
+	if fmt.Sprint(from.Attended) != fmt.Sprint(to.Attended) {
+		lines = append(lines, "attended hours change")
+	}
+	return lines
+}
+
+// diffSection describes the changes of one list.
+func diffSection[T any](kind string, from, to []T, name func(T) string) []string {
+	before := lo.KeyBy(from, name)
+	after := lo.KeyBy(to, name)
+	var lines []string
+	for _, item := range to {
+		old, ok := before[name(item)]
+		switch {
+		case !ok:
+			lines = append(lines, fmt.Sprintf("%s %s is added", kind, name(item)))
+		case fmt.Sprint(old) != fmt.Sprint(item):
+			lines = append(lines, fmt.Sprintf("%s %s changes", kind, name(item)))
+		}
+	}
+	for _, item := range from {
+		if _, ok := after[name(item)]; !ok {
+			lines = append(lines, fmt.Sprintf("%s %s is removed", kind, name(item)))
+		}
+	}
+	return lines
+}
+
+// diffDrains describes what goes out of service and what comes back.
+func diffDrains(kind string, from, to []string) []string {
+	back, out := lo.Difference(from, to)
+	lines := lo.Map(out, func(n string, _ int) string { return fmt.Sprintf("%s %s is taken out of service", kind, n) })
+	return append(lines, lo.Map(back, func(n string, _ int) string { return fmt.Sprintf("%s %s comes back into service", kind, n) })...)
+}
--- /dev/null
+++ b/foxtaild/daemon/admin.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/samber/lo"
+
+	"foxtaillug.org/scheduler/arbiter"
+)
+
+const (
+	// adminTime bounds the reading of a request's head.
+	adminTime = 5 * time.Second
+	// gaugeEvery is how often gauges are set.
+	gaugeEvery = time.Second
+)
+
+// Status is what operators see of a host. The fields are the wire format of
+// the admin interface.
+type Status struct {
+	Host          string           `json:"host"`
+	Incarnation   string           `json:"incarnation"`
+	Ready         bool             `json:"ready"`
+	Stopping      bool             `json:"stopping"`
+	Version       uint64           `json:"version"`
+	Digest        string           `json:"digest"`
+	InForceSince  time.Time        `json:"inForceSince"`
+	Conflict      bool             `json:"conflict"`
+	Hosts         int              `json:"hosts"`
+	InProgress    int64            `json:"inProgress"`
+	ControlSent   int64            `json:"controlBytesSent"`
+	ControlRead   int64            `json:"controlBytesReceived"`
+	ControlWrites int64            `json:"controlWrites"`
+	Upstreams     []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is what operators see of an upstream at a host.
+type UpstreamStatus struct {
+	Name    string `json:"name"`
+	Slots   int    `json:"slots"`
+	Limit   int    `json:"limit"`
+	Running int    `json:"running"`
+	Cold    bool   `json:"cold"`
+	State   string `json:"state"`
+}
+
+// Status returns what operators see of this host.
+func (d *Daemon) Status() Status {
+	s := Status{
+		Host:        d.settings.Host,
+		Incarnation: string(d.incarnation),
+		Ready:       d.Ready(),
+		Stopping:    d.keeper.Stopping(),
+		Conflict:    d.keeper.Conflict(),
+		Hosts:       len(d.keeper.Hosts()),
+		InProgress:  d.receiver.InProgress(),
+		Upstreams:   []UpstreamStatus{},
+	}
+	s.ControlSent, s.ControlRead, s.ControlWrites = d.messenger.Traffic()
+	if state := d.keeper.State(); state != nil {
+		s.Version, s.Digest, s.InForceSince = state.Version().Number(), state.Version().Digest(), state.Since()
+	}
+	for _, u := range d.granter.Status() {
+		s.Upstreams = append(s.Upstreams, UpstreamStatus{
+			Name: string(u.ID()), Slots: u.Slots(), Limit: u.Limit(), Running: u.Running(), Cold: u.Cold(), State: u.Closed(),
+		})
+	}
+	return s
+}
+
+// serveAdmin serves operators until ctx is done.
+func (d *Daemon) serveAdmin(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.Handle("GET /metrics", d.reporter.Metrics())
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.Status()) })
+	mux.HandleFunc("GET /explain/{id}", d.serveExplain)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminTime}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	go d.setGauges(ctx)
+	_ = server.Serve(d.listeners.admin)
+}
+
+// writeJSON sends a value.
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// serveExplain tells where and why a request went.
+func (d *Daemon) serveExplain(w http.ResponseWriter, r *http.Request) {
+	e, ok := d.reporter.Explain(r.PathValue("id"))
+	if !ok {
+		http.Error(w, "this host does not know the request", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, e)
+}
+
+// setGauges keeps the gauges up to date until ctx is done.
+func (d *Daemon) setGauges(ctx context.Context) {
+	tick := time.NewTicker(gaugeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := d.Status()
+		d.reporter.Gauge("config_version", nil, float64(s.Version))
+		d.reporter.Gauge("config_age_seconds", nil, time.Since(s.InForceSince).Seconds())
+		d.reporter.Gauge("in_progress", nil, float64(s.InProgress))
+		d.reporter.Gauge("control_bytes", nil, float64(s.ControlSent+s.ControlRead))
+		d.reporter.Gauge("control_writes", nil, float64(s.ControlWrites))
+		d.reporter.Gauge("upstreams_cold", nil, float64(lo.CountBy(s.Upstreams, func(u UpstreamStatus) bool { return u.Cold })))
+		d.reporter.Gauge("slots", nil, float64(lo.SumBy(s.Upstreams, func(u UpstreamStatus) int { return u.Slots })))
+		d.reporter.Gauge("running", nil, float64(lo.SumBy(s.Upstreams, func(u UpstreamStatus) int { return u.Running })))
+	}
+}
+
+// Waiting returns the upstreams of this host, for tools in the same process.
+func (d *Daemon) Waiting() []arbiter.Status { return d.granter.Status() }
--- /dev/null
+++ b/foxtaild/daemon/daemon.go
@@ -0,0 +1,321 @@
+// Package daemon puts a foxtaild process together and runs it. The program
+// foxtaild is a thin shell around it, and foxtailtry runs several in one
+// process.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+
+	"foxtaillug.org/contract/peerv1"
+	"foxtaillug.org/foxtaild/internal/dispatcher"
+	"foxtaillug.org/foxtaild/internal/gossiper"
+	"foxtaillug.org/foxtaild/internal/granter"
+	"foxtaillug.org/foxtaild/internal/keeper"
+	"foxtaillug.org/foxtaild/internal/messenger"
+	"foxtaillug.org/foxtaild/internal/receiver"
+	"foxtaillug.org/foxtaild/internal/reporter"
+	"foxtaillug.org/foxtaild/internal/requester"
+	"foxtaillug.org/foxtaild/internal/watcher"
+	"foxtaillug.org/scheduler"
+	"foxtaillug.org/scheduler/arbiter"
+	"foxtaillug.org/scheduler/leaser"
+
+	"connectrpc.com/connect"
+)
+
+// settleTime bounds how long a host that starts asks its peers for a newer
+// configuration.
+const settleTime = 2 * time.Second
+
+// Daemon is one host's process.
+type Daemon struct {
+	settings    Settings
+	log         *slog.Logger
+	injector    *do.RootScope
+	incarnation scheduler.IncarnationID
+	keeper      *keeper.Keeper
+	messenger   *messenger.Messenger
+	gossiper    *gossiper.Gossiper
+	granter     *granter.Granter
+	receiver    *receiver.Receiver
+	reporter    *reporter.Reporter
+	watcher     *watcher.Watcher
+	listeners   listeners
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
+	settled     chan struct{}
+}
+
+// listeners are the sockets a daemon serves.
+type listeners struct {
+	callers, peers, admin net.Listener
+}
+
+// Option sets a detail of a Daemon.
+type Option func(*Daemon)
+
+// WithLog sets where logs go; by default JSON lines to standard error.
+func WithLog(log *slog.Logger) Option {
+	return func(d *Daemon) { d.log = log }
+}
+
+// New checks the settings and puts a daemon together.
+func New(s Settings, opts ...Option) (d *Daemon, err error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	d = &Daemon{
+		settings:    s,
+		log:         NewLog(os.Stderr, s.LogLevel),
+		incarnation: scheduler.IncarnationID(s.Host + "-" + rand.Text()[:10]),
+		settled:     make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.log = d.log.With("host", s.Host)
+	d.injector = do.New()
+	if err := d.provide(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// NewLog returns a logger of JSON lines.
+func NewLog(w io.Writer, level string) *slog.Logger {
+	var l slog.Level
+	_ = l.UnmarshalText([]byte(level))
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: l}))
+}
+
+// provide builds the daemon's parts.
+func (d *Daemon) provide() (err error) {
+	s := d.settings
+	pepper, err := longSecret("--key-pepper", s.KeyPepper)
+	if err != nil {
+		return err
+	}
+	ticket, err := longSecret("--ticket-key", s.TicketKey)
+	if err != nil {
+		return err
+	}
+	keys, err := s.keys()
+	if err != nil {
+		return err
+	}
+	self := scheduler.NewHost(scheduler.HostID(s.Host), scheduler.DomainID(s.Domain), scheduler.RegionID(s.Region), scheduler.WithAddress(s.Peers))
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	i := d.injector
+	do.ProvideValue(i, d.log)
+	do.ProvideValue(i, keeper.New(self))
+	do.Provide(i, func(i do.Injector) (*messenger.Messenger, error) {
+		return messenger.New(do.MustInvoke[*keeper.Keeper](i), keys), nil
+	})
+	do.Provide(i, func(i do.Injector) (*gossiper.Gossiper, error) {
+		return gossiper.New(do.MustInvoke[*keeper.Keeper](i), do.MustInvoke[*messenger.Messenger](i), d.incarnation, d.log), nil
+	})
+	do.Provide(i, func(i do.Injector) (*granter.Granter, error) {
+		a := arbiter.New(self, time.Now(), arbiter.WithLease(leaser.WithLoan(s.Loan), leaser.WithLag(s.ListLag)))
+		g := do.MustInvoke[*gossiper.Gossiper](i)
+		return granter.New(do.MustInvoke[*keeper.Keeper](i), do.MustInvoke[*messenger.Messenger](i), d.log, a, granter.WithGossip(g.Push)), nil
+	})
+	do.Provide(i, func(i do.Injector) (*requester.Requester, error) {
+		return requester.New(ctx, do.MustInvoke[*keeper.Keeper](i), do.MustInvoke[*messenger.Messenger](i)), nil
+	})
+	do.Provide(i, func(do.Injector) (*reporter.Reporter, error) { return reporter.New(s.Host, d.traceOptions()...) })
+	do.Provide(i, func(i do.Injector) (*watcher.Watcher, error) {
+		return watcher.New(s.Platform, do.MustInvoke[*keeper.Keeper](i), d.log), nil
+	})
+	do.Provide(i, func(i do.Injector) (*receiver.Receiver, error) {
+		rep, err := do.Invoke[*reporter.Reporter](i)
+		if err != nil {
+			return nil, err
+		}
+		return receiver.New(receiver.Parts{
+			Keeper:      do.MustInvoke[*keeper.Keeper](i),
+			Requester:   do.MustInvoke[*requester.Requester](i),
+			Dispatcher:  dispatcher.New(),
+			Messenger:   do.MustInvoke[*messenger.Messenger](i),
+			Gossiper:    do.MustInvoke[*gossiper.Gossiper](i),
+			Reporter:    rep,
+			Log:         d.log,
+			Secrets:     receiver.NewSecrets(pepper, ticket),
+			Incarnation: d.incarnation,
+		}), nil
+	})
+	return d.invoke()
+}
+
+// traceOptions returns how traces are exported.
+func (d *Daemon) traceOptions() (opts []reporter.Option) {
+	opts = append(opts, reporter.WithSampling(d.settings.TraceRate))
+	if d.settings.TraceOTLP != "" {
+		opts = append(opts, reporter.WithOTLP(d.settings.TraceOTLP))
+	}
+	if d.settings.TraceLog {
+		opts = append(opts, reporter.WithTraceWriter(os.Stdout))
+	}
+	return opts
+}
+
+// invoke takes the parts out of the injector, each part that listens for
+// configurations before any can come.
+func (d *Daemon) invoke() (err error) {
+	i := d.injector
+	d.keeper = do.MustInvoke[*keeper.Keeper](i)
+	d.messenger = do.MustInvoke[*messenger.Messenger](i)
+	d.gossiper = do.MustInvoke[*gossiper.Gossiper](i)
+	d.granter = do.MustInvoke[*granter.Granter](i)
+	d.gossiper.SetOwner(d.granter)
+	d.watcher = do.MustInvoke[*watcher.Watcher](i)
+	if d.reporter, err = do.Invoke[*reporter.Reporter](i); err != nil {
+		return err
+	}
+	d.receiver, err = do.Invoke[*receiver.Receiver](i)
+	return err
+}
+
+// peerHandler joins the parts that answer peers.
+type peerHandler struct {
+	d *Daemon
+}
+
+// Schedule serves the stream of one entry.
+func (h peerHandler) Schedule(ctx context.Context, stream *connect.BidiStream[peerv1.EntryFrame, peerv1.OwnerFrame]) error {
+	return h.d.granter.Schedule(ctx, stream)
+}
+
+// Consent answers a guardian that wants this host's shares.
+func (h peerHandler) Consent(ctx context.Context, req *peerv1.ConsentRequest) (*peerv1.ConsentReply, error) {
+	if err := h.d.messenger.Admit(ctx, req.Host); err != nil {
+		return nil, err
+	}
+	return h.d.granter.Consent(req), nil
+}
+
+// Gossip compares notes with a peer.
+func (h peerHandler) Gossip(ctx context.Context, req *peerv1.GossipRequest) (*peerv1.GossipReply, error) {
+	return h.d.gossiper.Gossip(ctx, req)
+}
+
+// Fetch returns the configuration in force.
+func (h peerHandler) Fetch(ctx context.Context, req *peerv1.FetchRequest) (*peerv1.FetchReply, error) {
+	return h.d.gossiper.Fetch(ctx, req)
+}
+
+// Book runs a ticketed call.
+func (h peerHandler) Book(ctx context.Context, req *peerv1.BookRequest) (*peerv1.BookReply, error) {
+	return h.d.receiver.Book(ctx, req)
+}
+
+// Start opens the sockets and begins to work. Run waits for the end.
+func (d *Daemon) Start() (err error) {
+	defer func() {
+		if err != nil {
+			d.listeners.close()
+			err = eris.Wrap(err, "start")
+		}
+	}()
+	if d.listeners, err = listen(d.settings); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := d.cancel
+	d.cancel = func() {
+		cancel()
+		stop()
+	}
+	d.wg.Go(func() { d.granter.Run(ctx) })
+	d.wg.Go(func() { d.watcher.Run(ctx) })
+	d.wg.Go(func() { d.gossiper.Run(ctx) })
+	d.wg.Go(func() {
+		if err := d.messenger.Serve(ctx, d.listeners.peers, peerHandler{d}); err != nil {
+			d.log.Error("peers not served", "error", err.Error())
+		}
+	})
+	d.wg.Go(func() {
+		if err := d.receiver.Serve(d.listeners.callers); err != nil {
+			d.log.Error("callers not served", "error", err.Error())
+		}
+	})
+	d.wg.Go(func() { d.serveAdmin(ctx) })
+	d.wg.Go(func() { d.settle(ctx) })
+	d.log.Info("started", "incarnation", d.incarnation, "callers", d.settings.Listen, "peers", d.settings.Peers, "admin", d.settings.Admin)
+	return nil
+}
+
+// listen opens the sockets.
+func listen(s Settings) (l listeners, err error) {
+	if l.callers, err = net.Listen("tcp", s.Listen); err != nil {
+		return l, err
+	}
+	if l.peers, err = net.Listen("tcp", s.Peers); err != nil {
+		return l, err
+	}
+	l.admin, err = net.Listen("tcp", s.Admin)
+	return l, err
+}
+
+// close closes the sockets that are open.
+func (l listeners) close() {
+	for _, s := range []net.Listener{l.callers, l.peers, l.admin} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// settle asks all peers once for a newer configuration; before that the host
+// is not ready.
+func (d *Daemon) settle(ctx context.Context) {
+	defer close(d.settled)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for d.keeper.State() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	d.gossiper.Settle(ctx)
+}
+
+// Ready reports whether the host serves callers.
+func (d *Daemon) Ready() bool {
+	select {
+	case <-d.settled:
+		return d.keeper.State() != nil && !d.keeper.Stopping()
+	default:
+		return false
+	}
+}
+
+// Stop ends the daemon gracefully: it is no longer ready, takes no new work,
+// hands its shares over and waits until every accepted request has ended or
+// ctx is done. It returns how many requests were cut off.
+func (d *Daemon) Stop(ctx context.Context) (cut int64) {
+	d.log.Info("stopping", "inProgress", d.receiver.InProgress())
+	d.keeper.Stop()
+	d.granter.Stop()
+	cut = d.receiver.Stop(ctx)
+	d.cancel()
+	d.listeners.close()
+	d.wg.Wait()
+	_ = d.reporter.Close(context.Background())
+	d.log.Info("stopped", "cutOff", cut)
+	return cut
+}
--- /dev/null
+++ b/foxtaild/main.go
@@ -0,0 +1,37 @@
+// Program foxtaild is the daemon on every host: the entry for callers and the
+// owner of upstreams.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"foxtaillug.org/foxtaild/daemon"
+)
+
+func main() {
+	var s daemon.Settings
+	k := kong.Parse(&s,
+		kong.Name("foxtaild"),
+		kong.Description("Places requests onto upstreams. Every flag can be set by the environment variable named with it. SIGTERM stops gracefully; a second one stops at once."),
+	)
+	d, err := daemon.New(s)
+	k.FatalIfErrorf(err)
+	k.FatalIfErrorf(d.Start())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopAfter)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if cut := d.Stop(ctx); cut > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/foxtailtry/main.go
@@ -0,0 +1,4 @@
+// Program foxtailtry runs hosts and stand-ins inside one process.
+package main
+
+func main() {}
--- /dev/null
+++ b/scheduler/arbiter/types.go
@@ -0,0 +1,174 @@
+package arbiter
+
+import (
+	"time"
+
+	"foxtaillug.org/scheduler"
+	"foxtaillug.org/scheduler/admitter"
+	"foxtaillug.org/scheduler/quarantiner"
+)
+
+// Upstream is what the configuration says of a back end.
+type Upstream struct {
+	id        scheduler.UpstreamID
+	pool      scheduler.PoolID
+	domain    scheduler.DomainID
+	region    scheduler.RegionID
+	coldLimit int
+	limit     int
+	warmUp    time.Duration
+	reports   bool
+}
+
+// UpstreamOption sets a detail of an Upstream.
+type UpstreamOption func(*Upstream)
+
+// WithLimits sets how many requests it bears in cold start and at most.
+func WithLimits(cold, full int) UpstreamOption {
+	return func(u *Upstream) { u.coldLimit, u.limit = cold, full }
+}
+
+// WithWarmUp sets how long it must answer well to get more than its cold
+// limit.
+func WithWarmUp(d time.Duration) UpstreamOption {
+	return func(u *Upstream) { u.warmUp = d }
+}
+
+// WithReports says that the upstream publishes load reports. One that does
+// not must be a plain service, whose slots are never lent while in use.
+func WithReports(reports bool) UpstreamOption {
+	return func(u *Upstream) { u.reports = reports }
+}
+
+// NewUpstream returns a back end of a pool in a failure domain.
+func NewUpstream(id scheduler.UpstreamID, pool scheduler.PoolID, domain scheduler.DomainID, region scheduler.RegionID, opts ...UpstreamOption) Upstream {
+	u := Upstream{id: id, pool: pool, domain: domain, region: region, coldLimit: 1, limit: 1}
+	for _, opt := range opts {
+		opt(&u)
+	}
+	return u
+}
+
+// ID returns the upstream's name.
+func (u Upstream) ID() scheduler.UpstreamID { return u.id }
+
+// Pool returns the pool it belongs to.
+func (u Upstream) Pool() scheduler.PoolID { return u.pool }
+
+// Region returns the region it is in.
+func (u Upstream) Region() scheduler.RegionID { return u.region }
+
+// Request is an ask as it comes from an entry.
+type Request struct {
+	pool   scheduler.PoolID
+	ask    admitter.Ask
+	digest quarantiner.Digest
+}
+
+// NewRequest returns an ask for a pool with the keyed digest of the request.
+func NewRequest(pool scheduler.PoolID, ask admitter.Ask, digest quarantiner.Digest) Request {
+	return Request{pool: pool, ask: ask, digest: digest}
+}
+
+// LoanRequest asks a lender for its shares of upstreams, or gives them back.
+type LoanRequest struct {
+	to        scheduler.HostID
+	upstreams []scheduler.UpstreamID
+	release   bool
+}
+
+// To returns the lender.
+func (l LoanRequest) To() scheduler.HostID { return l.to }
+
+// Upstreams returns whose shares are asked for.
+func (l LoanRequest) Upstreams() []scheduler.UpstreamID { return l.upstreams }
+
+// Release reports whether the shares are given back.
+func (l LoanRequest) Release() bool { return l.release }
+
+// ShutRequest asks an owner to refuse tiers of a pool from one down.
+type ShutRequest struct {
+	to   scheduler.HostID
+	pool scheduler.PoolID
+	from scheduler.Tier
+	hold time.Duration
+}
+
+// To returns the other owner.
+func (s ShutRequest) To() scheduler.HostID { return s.to }
+
+// Pool returns the pool.
+func (s ShutRequest) Pool() scheduler.PoolID { return s.pool }
+
+// From returns the highest tier to be refused.
+func (s ShutRequest) From() scheduler.Tier { return s.from }
+
+// Hold returns for how long.
+func (s ShutRequest) Hold() time.Duration { return s.hold }
+
+// Orders are what an Arbiter wants done.
+type Orders struct {
+	grants   []admitter.Grant
+	refusals []admitter.Refusal
+	loans    []LoanRequest
+	shuts    []ShutRequest
+	suspects bool
+}
+
+// Grants returns the slots given out, for the entries named in their ids.
+func (o Orders) Grants() []admitter.Grant { return o.grants }
+
+// Refusals returns the asks that ended.
+func (o Orders) Refusals() []admitter.Refusal { return o.refusals }
+
+// Loans returns what to ask of lenders.
+func (o Orders) Loans() []LoanRequest { return o.loans }
+
+// Shuts returns what to ask of other owners.
+func (o Orders) Shuts() []ShutRequest { return o.shuts }
+
+// Suspects reports whether peers should hear of new suspects at once.
+func (o Orders) Suspects() bool { return o.suspects }
+
+// add takes over what a pool ordered.
+func (o *Orders) add(p admitter.Orders) {
+	o.grants = append(o.grants, p.Grants()...)
+	o.refusals = append(o.refusals, p.Refusals()...)
+}
+
+// Add appends the orders of a later event.
+func (o *Orders) Add(p Orders) {
+	o.grants = append(o.grants, p.grants...)
+	o.refusals = append(o.refusals, p.refusals...)
+	o.loans = append(o.loans, p.loans...)
+	o.shuts = append(o.shuts, p.shuts...)
+	o.suspects = o.suspects || p.suspects
+}
+
+// Status is what operators see of an upstream at one host.
+type Status struct {
+	id      scheduler.UpstreamID
+	slots   int
+	limit   int
+	running int
+	cold    bool
+	closed  string
+}
+
+// ID returns the upstream's name.
+func (s Status) ID() scheduler.UpstreamID { return s.id }
+
+// Slots returns how many requests this host may have on it.
+func (s Status) Slots() int { return s.slots }
+
+// Limit returns how many it bears at present.
+func (s Status) Limit() int { return s.limit }
+
+// Running returns how many it has by this host's grants.
+func (s Status) Running() int { return s.running }
+
+// Cold reports whether it is in cold start.
+func (s Status) Cold() bool { return s.cold }
+
+// Closed returns why it gets nothing new; "open" when it does.
+func (s Status) Closed() string { return s.closed }
--- /dev/null
+++ b/scheduler/booker/booker.go
@@ -0,0 +1,203 @@
+// Package booker runs calls that may not be repeated at most once.
+//
+// A caller takes a ticket first. The ticket names the one process incarnation
+// that may ever run it, under a keyed hash, so no other process does; that
+// process remembers in memory what became of it and gives repeats the same
+// answer. When the process is gone nothing can run the ticket any more, and
+// the honest outcome is "unknown".
+package booker
+
+import (
+	"time"
+
+	"foxtaillug.org/scheduler"
+	"foxtaillug.org/scheduler/internal/pq"
+)
+
+// DefaultLife is how long a ticket may be used after it was issued.
+const DefaultLife = 15 * time.Minute
+
+// Step says what is to be done with one use of a ticket.
+type Step int
+
+// The steps.
+const (
+	// Run dispatches the call; this is returned at most once until the call
+	// is proved not to have run.
+	Run Step = iota
+	// Wait waits for the use that is running already.
+	Wait
+	// Replay gives the remembered answer.
+	Replay
+	// Expired refuses: what became of the ticket is no longer known.
+	Expired
+	// Mismatch refuses: the ticket was used for another call.
+	Mismatch
+	// Foreign refuses: another incarnation issued the ticket.
+	Foreign
+	// Full refuses: too many tickets are remembered.
+	Full
+)
+
+// Answer is what a ticketed call ended with.
+type Answer struct {
+	status      int
+	contentType string
+	body        []byte
+	outcome     string
+	reason      string
+}
+
+// NewAnswer returns an answer with an HTTP status and an outcome.
+func NewAnswer(status int, contentType string, body []byte, outcome, reason string) Answer {
+	return Answer{status: status, contentType: contentType, body: body, outcome: outcome, reason: reason}
+}
+
+// Status returns the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// ContentType returns the media type of the body.
+func (a Answer) ContentType() string { return a.contentType }
+
+// Body returns the bytes for the caller.
+func (a Answer) Body() []byte { return a.body }
+
+// Outcome returns complete, failed, unknown or notRun.
+func (a Answer) Outcome() string { return a.outcome }
+
+// Reason returns the machine-readable cause of a refusal.
+func (a Answer) Reason() string { return a.reason }
+
+// record is what is remembered of one ticket.
+type record struct {
+	nonce   string
+	call    uint64
+	done    bool
+	aborted bool
+	answer  Answer
+	expiry  time.Time
+}
+
+// Booker remembers the tickets of one incarnation. It is not safe for
+// concurrent use.
+type Booker struct {
+	self     scheduler.IncarnationID
+	started  time.Time
+	life     time.Duration
+	capacity int
+	records  map[string]*record
+	expiries *pq.Queue[*record]
+}
+
+// DefaultCapacity bounds the tickets remembered at a time.
+const DefaultCapacity = 100_000
+
+// Option sets a detail of a Booker.
+type Option func(*Booker)
+
+// WithLife sets how long a ticket may be used.
+func WithLife(d time.Duration) Option {
+	return func(b *Booker) { b.life = d }
+}
+
+// WithCapacity bounds the tickets remembered at a time.
+func WithCapacity(n int) Option {
+	return func(b *Booker) { b.capacity = n }
+}
+
+// New returns the booker of an incarnation that started at a time with a
+// monotonic reading, so that a wall clock set back revives no ticket.
+func New(self scheduler.IncarnationID, started time.Time, opts ...Option) *Booker {
+	b := &Booker{
+		self:     self,
+		started:  started,
+		life:     DefaultLife,
+		capacity: DefaultCapacity,
+		records:  make(map[string]*record),
+		expiries: pq.New(func(a, b *record) bool { return a.expiry.Before(b.expiry) }),
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Begin decides on one use of a ticket for a call with the given digest. It
+// returns Run at most once for a ticket, unless Abort proved that the run
+// never left.
+func (b *Booker) Begin(t Ticket, call uint64, now time.Time) (Step, Answer) {
+	if t.incarnation != b.self {
+		return Foreign, Answer{}
+	}
+	expiry := b.started.Add(t.age + b.life)
+	if r, ok := b.records[t.nonce]; ok && !(r.aborted && !now.Before(expiry)) {
+		return r.step(call)
+	}
+	if !now.Before(expiry) {
+		return Expired, Answer{}
+	}
+	b.forget(now)
+	if len(b.records) >= b.capacity {
+		return Full, Answer{}
+	}
+	r := &record{nonce: t.nonce, call: call, expiry: expiry}
+	b.records[t.nonce] = r
+	b.expiries.Push(r)
+	return Run, Answer{}
+}
+
+// step decides on a repeat.
+func (r *record) step(call uint64) (Step, Answer) {
+	switch {
+	case r.call != call:
+		return Mismatch, Answer{}
+	case r.aborted:
+		r.aborted = false
+		return Run, Answer{}
+	case r.done:
+		return Replay, r.answer
+	default:
+		return Wait, Answer{}
+	}
+}
+
+// forget drops tickets that have expired and are not running. Only a ticket
+// past its life is forgotten, so a forgotten one can never run again.
+func (b *Booker) forget(now time.Time) {
+	for {
+		r, ok := b.expiries.Peek()
+		if !ok || now.Before(r.expiry) {
+			return
+		}
+		b.expiries.Pop()
+		if r.done || r.aborted {
+			delete(b.records, r.nonce)
+			continue
+		}
+		r.expiry = now.Add(b.life)
+		b.expiries.Push(r)
+	}
+}
+
+// Finish records the answer of the one run.
+func (b *Booker) Finish(t Ticket, a Answer) {
+	if r, ok := b.records[t.nonce]; ok && !r.done {
+		r.done, r.answer = true, a
+	}
+}
+
+// Abort takes note of a run of which no byte left, so that the ticket can be
+// used again.
+func (b *Booker) Abort(t Ticket) {
+	if r, ok := b.records[t.nonce]; ok && !r.done {
+		r.aborted = true
+	}
+}
+
+// Age returns how old the incarnation is, for the tickets it issues.
+func (b *Booker) Age(now time.Time) time.Duration {
+	return now.Sub(b.started)
+}
+
+// Len returns how many tickets are remembered.
+func (b *Booker) Len() int { return len(b.records) }
