--- a/foxtaild/daemon/daemon.go
+++ b/foxtaild/daemon/daemon.go
@@ -128,7 +128,7 @@
 	do.Provide(i, func(i do.Injector) (*granter.Granter, error) {
 		a := arbiter.New(self, time.Now(), arbiter.WithLease(leaser.WithLoan(s.Loan), leaser.WithLag(s.ListLag)))
 		g := do.MustInvoke[*gossiper.Gossiper](i)
-		return granter.New(do.MustInvoke[*keeper.Keeper](i), do.MustInvoke[*messenger.Messenger](i), d.log, a, granter.WithGossip(g.Push)), nil
+		return granter.New(do.MustInvoke[*keeper.Keeper](i), do.MustInvoke[*messenger.Messenger](i), d.log, a, granter.WithGossip(g.Push), granter.WithConfirm(d.confirm)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*requester.Requester, error) {
 		return requester.New(ctx, do.MustInvoke[*keeper.Keeper](i), do.MustInvoke[*messenger.Messenger](i)), nil
@@ -294,6 +294,25 @@
 	d.gossiper.Settle(ctx)
 }
 
+// confirm asks peers and the platform for a newer configuration after this
+// process was paused.
+func (d *Daemon) confirm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(d.watcher.Refresh)
+	wg.Go(func() { d.gossiper.Settle(ctx) })
+	over := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-ctx.Done():
+	}
+}
+
 // Ready reports whether the host serves callers.
 func (d *Daemon) Ready() bool {
 	select {
--- a/foxtaild/internal/gossiper/gossiper.go
+++ b/foxtaild/internal/gossiper/gossiper.go
@@ -37,6 +37,8 @@
 	suspectWindow = 10 * time.Second
 	// pushPause keeps a burst of news to one push.
 	pushPause = 20 * time.Millisecond
+	// settlePeers is how many peers a host asks when it starts or wakes up.
+	settlePeers = 16
 	// history is how many former bundles are kept to answer with changes
 	// only.
 	history = 8
@@ -141,11 +143,13 @@
 	})
 }
 
-// Settle compares notes with every peer once, so that a host that starts
-// serves nothing older than what its peers have in force.
+// Settle compares notes with several peers, so that a host that starts or
+// wakes up serves nothing older than what its peers have in force.
 func (g *Gossiper) Settle(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, id := range g.peers() {
+	peers := g.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, id := range peers[:min(settlePeers, len(peers))] {
 		wg.Go(func() { g.Compare(ctx, id) })
 	}
 	wg.Wait()
--- a/foxtaild/internal/granter/granter.go
+++ b/foxtaild/internal/granter/granter.go
@@ -50,6 +50,7 @@
 	done      chan struct{}
 	client    *fasthttp.Client
 	gossip    func()
+	confirm   func(context.Context)
 
 	mu       sync.Mutex
 	sessions map[scheduler.HostID]*session
@@ -63,6 +64,12 @@
 	return func(g *Granter) { g.gossip = f }
 }
 
+// WithConfirm sets what asks peers and the platform for a newer configuration
+// after this process was paused.
+func WithConfirm(f func(context.Context)) Option {
+	return func(g *Granter) { g.confirm = f }
+}
+
 // New returns a granter that must be run.
 func New(k *keeper.Keeper, m *messenger.Messenger, log *slog.Logger, a *arbiter.Arbiter, opts ...Option) *Granter {
 	g := &Granter{
@@ -74,6 +81,7 @@
 		done:      make(chan struct{}),
 		client:    &fasthttp.Client{Name: "foxtaild", MaxIdemponentCallAttempts: 1, ReadTimeout: callTime},
 		gossip:    func() {},
+		confirm:   func(context.Context) {},
 		sessions:  make(map[scheduler.HostID]*session),
 	}
 	for _, opt := range opts {
@@ -171,6 +179,12 @@
 	if o.Suspects() {
 		g.gossip()
 	}
+	if o.Confirm() {
+		go func() {
+			g.confirm(ctx)
+			g.post(func(a *arbiter.Arbiter, now time.Time) arbiter.Orders { return a.Confirm(now) })
+		}()
+	}
 }
 
 // requestLoan asks a lender for its shares.
--- a/foxtaild/internal/watcher/watcher.go
+++ b/foxtaild/internal/watcher/watcher.go
@@ -221,6 +221,11 @@
 	if after == "" {
 		wait = 0
 	}
+	return w.readConfiguration(after, wait)
+}
+
+// readConfiguration reads the manifest, and those of its parts that are new.
+func (w *Watcher) readConfiguration(after string, wait time.Duration) (next string, err error) {
 	manifest, next, err := w.get("/v1/values/"+bundler.ManifestKey, after, wait)
 	if err != nil {
 		return "", err
@@ -240,6 +245,13 @@
 	return next, err
 }
 
+// Refresh reads the configuration once, without waiting for news.
+func (w *Watcher) Refresh() {
+	if _, err := w.readConfiguration("", 0); err != nil && !eris.Is(err, errUnchanged) {
+		w.log.Warn("platform read failed", "what", "configuration", "error", err.Error())
+	}
+}
+
 // watches reports whether a host is among those of its failure domain that
 // watch the configuration.
 func watches(self scheduler.Host, hosts []scheduler.Host) bool {
--- a/scheduler/admitter/admitter.go
+++ b/scheduler/admitter/admitter.go
@@ -402,8 +402,10 @@
 // Stop refuses everything that waits and all that comes.
 func (p *Pool) Stop(now time.Time) (o Orders) {
 	p.stopping = true
-	for _, w := range p.queued {
-		p.refuse(w, Stopping, now, &o)
+	for _, q := range p.tiers {
+		for w := q.oldest(); w != nil; w = q.oldest() {
+			p.refuse(w, Stopping, now, &o)
+		}
 	}
 	return o
 }
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,16 @@
 // unreachedFor is how long an upstream that took no connection is left alone.
 const unreachedFor = time.Second
 
+// wakeGap is the time without any event after which this process must have
+// been paused, and its knowledge may be old.
+const wakeGap = time.Second
+
+// transit bounds how long a request is on its way after it was dispatched.
+const transit = 250 * time.Millisecond
+
+// unseen is how old a grant must be to show in a load report for certain.
+const unseen = admitter.GrantLife + transit
+
 // shutEvery is how often other owners are asked again to keep tiers shut
 // when nothing has changed.
 const shutEvery = 500 * time.Millisecond
@@ -58,9 +69,12 @@
 	hosts     []scheduler.Host
 	upstreams []Upstream
 	charges   map[scheduler.UpstreamID]*charge
+	order     []scheduler.UpstreamID
 	pools     map[scheduler.PoolID]*poolState
 	digests   map[scheduler.RequestID]quarantiner.Digest
 	renewed   time.Time
+	seen      time.Time
+	doubting  bool
 	stopping  bool
 }
 
@@ -91,6 +105,7 @@
 	}
 	return &Arbiter{
 		self:     self,
+		seen:     now,
 		queue:    o.queue,
 		leases:   leaser.New(self.ID(), now, o.lease...),
 		drains:   drainer.New(),
@@ -104,8 +119,9 @@
 // SetConfiguration takes the upstreams, the number of tiers and the drains of
 // the configuration in force.
 func (a *Arbiter) SetConfiguration(upstreams []Upstream, tiers int, drains drainer.Drains, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	if tiers != a.tiers {
-		o = a.replacePools(now)
+		o.Add(a.replacePools(now))
 	}
 	a.tiers = tiers
 	a.upstreams = upstreams
@@ -118,16 +134,18 @@
 
 // replacePools refuses what waits when the tiers themselves have changed.
 func (a *Arbiter) replacePools(now time.Time) (o Orders) {
-	for _, p := range a.pools {
-		o.add(p.pool.Stop(now))
+	for _, id := range a.Pools() {
+		o.add(a.pools[id].pool.Stop(now))
 	}
 	a.pools = make(map[scheduler.PoolID]*poolState)
 	a.charges = make(map[scheduler.UpstreamID]*charge)
+	a.order = nil
 	return o
 }
 
 // SetHosts takes the newest host list.
 func (a *Arbiter) SetHosts(hosts []scheduler.Host, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	a.hosts = hosts
 	a.divide(now)
 	a.resize(now, &o)
@@ -164,6 +182,7 @@
 			delete(a.charges, id)
 		}
 	}
+	a.order = slices.Sorted(maps.Keys(a.charges))
 	a.meetOwners(now)
 }
 
@@ -228,8 +247,35 @@
 	}
 }
 
+// wake notices that this process was paused. It then grants nothing until
+// its configuration is confirmed: an upstream may have been taken out of
+// service meanwhile.
+func (a *Arbiter) wake(now time.Time, o *Orders) {
+	gap := now.Sub(a.seen)
+	a.seen = now
+	if gap < wakeGap {
+		return
+	}
+	a.doubting = true
+	o.confirm = true
+	a.resize(now, o)
+}
+
+// Confirm takes note that peers and the platform were asked for a newer
+// configuration since this process woke up.
+func (a *Arbiter) Confirm(now time.Time) (o Orders) {
+	a.wake(now, &o)
+	if o.confirm {
+		return o
+	}
+	a.doubting = false
+	a.resize(now, &o)
+	return o
+}
+
 // Ask takes a request for a slot.
 func (a *Arbiter) Ask(r Request, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	p, ok := a.pools[r.pool]
 	if !ok {
 		o.refusals = append(o.refusals, admitter.NewRefusal(r.ask.ID(), admitter.NotOwner, 0))
@@ -269,6 +315,7 @@
 
 // Finish takes the end of a granted request.
 func (a *Arbiter) Finish(id scheduler.RequestID, ending admitter.Ending, g admitter.Usage, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	digest := a.digests[id]
 	delete(a.digests, id)
 	for _, p := range a.pools {
@@ -307,6 +354,7 @@
 
 // Reported takes an upstream's load report.
 func (a *Arbiter) Reported(id scheduler.UpstreamID, r ramper.Report, leaving bool, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	c, ok := a.charges[id]
 	if !ok || r.Taken().Before(c.reported) {
 		return o
@@ -325,7 +373,7 @@
 // falls with each report and is made anew only when a share was added.
 func (a *Arbiter) boundForeign(c *charge, r ramper.Report, now time.Time) {
 	p := a.pool(c.spec.pool).pool
-	settled := r.Taken().Add(-admitter.GrantLife)
+	settled := r.Taken().Add(-unseen)
 	_, own := p.Running(c.spec.id, settled)
 	bound := max(r.Running()-own, 0)
 	grown := a.leases.GrownSince(c.spec.id, now)
@@ -339,7 +387,7 @@
 
 // resize works out the slots of every upstream anew.
 func (a *Arbiter) resize(now time.Time, o *Orders) {
-	for id := range a.charges {
+	for _, id := range a.order {
 		a.resizeOne(id, now, o)
 	}
 }
@@ -351,15 +399,18 @@
 		return
 	}
 	slots, until := a.leases.Slots(id, c.ramp.Limit(), a.verified(c, now), now)
+	if a.doubting {
+		slots, until = 0, now
+	}
 	a.take(a.pool(c.spec.pool).pool.SetSlots(id, slots, until, now), o)
 }
 
 // verified returns the time before which a share must have come to count.
 func (a *Arbiter) verified(c *charge, now time.Time) time.Time {
 	if c.spec.reports {
-		return c.reported.Add(-admitter.GrantLife)
+		return c.reported.Add(-unseen)
 	}
-	return now.Add(-admitter.GrantLife)
+	return now.Add(-unseen)
 }
 
 // Lend answers a guardian that wants this host's share of an upstream.
@@ -388,6 +439,7 @@
 
 // Borrowed takes a lender's answer to a request sent at asked.
 func (a *Arbiter) Borrowed(id scheduler.UpstreamID, lender scheduler.HostID, shares []leaser.Share, asked, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	a.leases.Borrowed(id, lender, shares, asked, now)
 	a.resizeOne(id, now, &o)
 	return o
@@ -395,6 +447,7 @@
 
 // Shut carries out another owner's request to refuse tiers.
 func (a *Arbiter) Shut(pool scheduler.PoolID, from scheduler.Tier, hold time.Duration, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	if p, ok := a.pools[pool]; ok {
 		p.ladder.Asked(from, hold, now)
 		a.take(p.pool.Tick(now), &o)
@@ -404,6 +457,7 @@
 
 // Promised takes another owner's promise to refuse tiers, asked for at asked.
 func (a *Arbiter) Promised(pool scheduler.PoolID, by scheduler.HostID, from scheduler.Tier, hold time.Duration, asked, now time.Time) (o Orders) {
+	a.wake(now, &o)
 	p, ok := a.pools[pool]
 	if !ok {
 		return o
@@ -438,8 +492,9 @@
 
 // Orphan takes note of an entry that can't be heard any more.
 func (a *Arbiter) Orphan(entry scheduler.HostID, now time.Time) (o Orders) {
-	for _, p := range a.pools {
-		a.take(p.pool.Orphan(entry, a.reports, now), &o)
+	a.wake(now, &o)
+	for _, id := range a.Pools() {
+		a.take(a.pools[id].pool.Orphan(entry, a.reports, now), &o)
 	}
 	for id := range a.digests {
 		if id.Entry() == entry {
@@ -458,9 +513,11 @@
 // Tick does what time alone calls for. It is to be called some ten times a
 // second.
 func (a *Arbiter) Tick(now time.Time) (o Orders) {
+	a.wake(now, &o)
 	a.reach(now)
 	a.resize(now, &o)
-	for _, p := range a.pools {
+	for _, id := range a.Pools() {
+		p := a.pools[id]
 		a.take(p.pool.Tick(now), &o)
 		a.requestShut(p, now, &o)
 	}
@@ -484,7 +541,7 @@
 // borrow returns the requests for shares, one for each lender.
 func (a *Arbiter) borrow(now time.Time) []LoanRequest {
 	byLender := make(map[scheduler.HostID][]scheduler.UpstreamID)
-	for id := range a.charges {
+	for _, id := range a.order {
 		for _, lender := range a.leases.Lenders(id, now) {
 			byLender[lender] = append(byLender[lender], id)
 		}
@@ -507,13 +564,13 @@
 func (a *Arbiter) Stop(now time.Time) (o Orders) {
 	a.stopping = true
 	byLender := make(map[scheduler.HostID][]scheduler.UpstreamID)
-	for id := range a.charges {
+	for _, id := range a.order {
 		for _, lender := range a.leases.Release(id) {
 			byLender[lender] = append(byLender[lender], id)
 		}
 	}
-	for _, p := range a.pools {
-		a.take(p.pool.Stop(now), &o)
+	for _, id := range a.Pools() {
+		a.take(a.pools[id].pool.Stop(now), &o)
 	}
 	o.loans = loanRequests(byLender, true)
 	return o
@@ -530,17 +587,11 @@
 
 // Pools returns the pools this host has upstreams of, sorted.
 func (a *Arbiter) Pools() []scheduler.PoolID {
-	ids := lo.Keys(a.pools)
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(a.pools))
 }
 
 // Charges returns the upstreams this host is a guardian of, sorted.
-func (a *Arbiter) Charges() []scheduler.UpstreamID {
-	ids := lo.Keys(a.charges)
-	slices.Sort(ids)
-	return ids
-}
+func (a *Arbiter) Charges() []scheduler.UpstreamID { return a.order }
 
 // Status returns what operators see of this host's upstreams.
 func (a *Arbiter) Status(now time.Time) []Status {
--- /dev/null
+++ b/scheduler/arbiter/arbiter_test.go
@@ -0,0 +1,212 @@
+package arbiter_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"foxtaillug.org/scheduler"
+	"foxtaillug.org/scheduler/admitter"
+	"foxtaillug.org/scheduler/quarantiner"
+)
+
+// TestMain fixes rapid's seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+// TestSettledFleetHoldsAllSlots lets a fleet settle and looks whether every
+// upstream's owner has the whole of its limit.
+func TestSettledFleetHoldsAllSlots(t *testing.T) {
+	f := newFleet(1, 3, 4, 2, 8)
+	f.run(10 * time.Second)
+	for _, b := range f.backends {
+		slots := 0
+		for _, n := range f.nodes {
+			for _, s := range n.arbiter.Status(f.now) {
+				if s.ID() == b.id {
+					slots = max(slots, s.Slots())
+				}
+			}
+		}
+		if slots != 2 {
+			t.Errorf("%s: the owner has %d slots, want the cold limit of 2", b.id, slots)
+		}
+	}
+}
+
+// load issues requests at random hosts for a time.
+func (f *fleet) load(d time.Duration, perSecond int) {
+	n := int(d.Seconds() * float64(perSecond))
+	for range n {
+		f.after(time.Duration(f.rng.Int64N(int64(d))), func() {
+			entry := f.nodes[f.rng.IntN(len(f.nodes))]
+			if entry.dead {
+				return
+			}
+			tier := scheduler.Tier(f.rng.IntN(f.tiers))
+			length := 50*time.Millisecond + time.Duration(f.rng.Int64N(int64(1500*time.Millisecond)))
+			f.issue(entry, tier, length, 4*time.Second, quarantiner.Digest(f.rng.Uint64()))
+		})
+	}
+}
+
+// fault is one thing that goes wrong.
+type fault struct {
+	kind   int
+	target int
+	at     time.Duration
+	last   time.Duration
+}
+
+// The kinds of faults.
+const (
+	faultKill = iota
+	faultPause
+	faultPart
+	faultCrash
+	faultLoss
+	faultDrain
+	faultKinds
+)
+
+// strike carries a fault out.
+func (f *fleet) strike(x fault) {
+	n := f.nodes[x.target%len(f.nodes)]
+	b := f.backends[x.target%len(f.backends)]
+	switch x.kind {
+	case faultKill:
+		if n.dead {
+			return
+		}
+		f.kill(n)
+		f.after(x.last, func() {
+			n.view = f.truth()
+			f.boot(n)
+			f.listsChange()
+		})
+	case faultPause:
+		if end := f.now.Add(x.last); end.After(n.paused) {
+			n.paused = end
+		}
+	case faultPart:
+		n.side = 1 - n.side
+		f.after(x.last, func() { n.side = 0 })
+	case faultCrash:
+		f.crash(b)
+	case faultLoss:
+		f.lossy = 0.2
+		f.after(x.last, func() { f.lossy = 0 })
+	case faultDrain:
+		if b.drained.IsZero() {
+			f.drain(b)
+		}
+	}
+}
+
+// TestPromisesUnderRandomFaults throws random faults, several at a time, at a
+// fleet under load: no request is dispatched twice, no upstream gets more than
+// its limit or, in cold start, more than it bears, and none that was taken out
+// gets new work after three seconds.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 7).Draw(t, "hosts"), rapid.IntRange(1, 4).Draw(t, "upstreams"), rapid.IntRange(1, 3).Draw(t, "cold"), 8)
+		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+			return fault{
+				kind:   rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
+				target: rapid.IntRange(0, 6).Draw(t, "target"),
+				at:     time.Duration(rapid.IntRange(0, 15000).Draw(t, "at")) * time.Millisecond,
+				last:   time.Duration(rapid.IntRange(10, 6000).Draw(t, "last")) * time.Millisecond,
+			}
+		}), 0, 6).Draw(t, "faults")
+		for _, b := range f.backends {
+			f.after(2*time.Second, func() { b.cold = b.cold && b.epoch > 0 })
+		}
+		for _, x := range faults {
+			f.after(x.at, func() { f.strike(x) })
+		}
+		f.load(20*time.Second, 20)
+		f.run(25 * time.Second)
+		if len(f.violations) > 0 {
+			t.Fatalf("%d violations, the first: %s", len(f.violations), f.violations[0])
+		}
+	})
+}
+
+// TestFleetServesAfterSettling makes sure that the world does work, so that
+// the safety tests are not passed by doing nothing.
+func TestFleetServesAfterSettling(t *testing.T) {
+	f := newFleet(1, 3, 4, 2, 8)
+	f.after(2*time.Second, func() {
+		for _, b := range f.backends {
+			b.cold = false
+		}
+	})
+	f.run(8 * time.Second)
+	f.load(10*time.Second, 5)
+	f.run(15 * time.Second)
+	warm := f.completed[0] + f.completed[1] + f.completed[2]
+	f.load(20*time.Second, 20)
+	f.run(25 * time.Second)
+	done := f.completed[0] + f.completed[1] + f.completed[2] - warm
+	all := 400
+	if done != all {
+		t.Errorf("%d of %d completed, refusals %v", done, all, f.refusals)
+	}
+}
+
+// TestTakeover kills the owner of everything and looks whether others serve.
+func TestTakeover(t *testing.T) {
+	f := newFleet(3, 3, 2, 2, 8)
+	f.after(2*time.Second, func() {
+		for _, b := range f.backends {
+			b.cold = false
+		}
+	})
+	f.run(8 * time.Second)
+	f.kill(f.nodes[0])
+	f.run(5 * time.Second)
+	before := f.completed[0]
+	for range 20 {
+		f.issue(f.nodes[1], 0, 100*time.Millisecond, 4*time.Second, 0)
+	}
+	f.run(5 * time.Second)
+	if got := f.completed[0] - before; got != 20 {
+		t.Errorf("%d of 20 completed after a host died, refusals %v", got, f.refusals)
+	}
+}
+
+// TestPoisonIsRefusedAfterTheSecondCrash has a caller send a request again and
+// again that crashes each upstream, beside harmless work.
+func TestPoisonIsRefusedAfterTheSecondCrash(t *testing.T) {
+	f := newFleet(5, 3, 4, 2, 8)
+	f.poison = 666
+	f.after(2*time.Second, func() {
+		for _, b := range f.backends {
+			b.cold = false
+		}
+	})
+	f.run(8 * time.Second)
+	f.load(20*time.Second, 4)
+	crashes := 0
+	for i := range 10 {
+		f.after(time.Duration(i)*1500*time.Millisecond, func() {
+			j := f.issue(f.nodes[i%3], 0, time.Second, 4*time.Second, f.poison)
+			f.after(1400*time.Millisecond, func() { crashes += j.crashes })
+		})
+	}
+	f.run(25 * time.Second)
+	if crashes != 2 {
+		t.Errorf("the request crashed %d upstreams, want 2", crashes)
+	}
+	if f.refusals[admitter.Quarantined] != 8 {
+		t.Errorf("%d of 8 repeats were quarantined", f.refusals[admitter.Quarantined])
+	}
+}
--- a/scheduler/arbiter/types.go
+++ b/scheduler/arbiter/types.go
@@ -113,6 +113,7 @@
 	loans    []LoanRequest
 	shuts    []ShutRequest
 	suspects bool
+	confirm  bool
 }
 
 // Grants returns the slots given out, for the entries named in their ids.
@@ -130,6 +131,10 @@
 // Suspects reports whether peers should hear of new suspects at once.
 func (o Orders) Suspects() bool { return o.suspects }
 
+// Confirm reports whether peers and the platform are to be asked for a newer
+// configuration; Arbiter.Confirm is to be called when that was done.
+func (o Orders) Confirm() bool { return o.confirm }
+
 // add takes over what a pool ordered.
 func (o *Orders) add(p admitter.Orders) {
 	o.grants = append(o.grants, p.Grants()...)
@@ -143,6 +148,7 @@
 	o.loans = append(o.loans, p.loans...)
 	o.shuts = append(o.shuts, p.shuts...)
 	o.suspects = o.suspects || p.suspects
+	o.confirm = o.confirm || p.confirm
 }
 
 // Status is what operators see of an upstream at one host.
--- a/scheduler/leaser/leaser.go
+++ b/scheduler/leaser/leaser.go
@@ -260,16 +260,19 @@
 }
 
 // Lenders returns the guardians whose shares this host should ask for: all
-// that rank below it, unless it has lent its own share to one above.
+// that rank below it. A host that is not the first asks only when none above
+// it has asked for its own share for as long as a loan lasts.
 func (l *Leaser) Lenders(upstream scheduler.UpstreamID, now time.Time) []scheduler.HostID {
-	if now.Before(l.holding(upstream).lent.until) {
-		return nil
-	}
+	h := l.holding(upstream)
 	guardians := l.Guardians(upstream)
 	for i, id := range guardians {
-		if id == l.self {
-			return guardians[i+1:]
+		if id != l.self {
+			continue
+		}
+		if i > 0 && now.Sub(l.ownsSince(h)) < l.loan {
+			return nil
 		}
+		return guardians[i+1:]
 	}
 	return nil
 }
