granter: follow load reports only as closely as they matter

Cause: with load reports counted as control, an idle host of 72 upstreams sent 5.7 KB/s: every guardian read every upstream it might ever take over, four times a second. Ruled out: gossip and loans (1.5 KB/s before load reports were counted). Change: a host that has lent its share reads nothing; warm upstreams whose work is all accounted for are read once a second; gossip rounds 1 s, loans renewed at half their length; an entry names itself in its first frame only.

--- a/foxtaild/internal/gossiper/gossiper.go
+++ b/foxtaild/internal/gossiper/gossiper.go
@@ -28,7 +28,7 @@
 
 const (
 	// roundEvery is how often notes are compared with a random peer.
-	roundEvery = 500 * time.Millisecond
+	roundEvery = time.Second
 	// fanOut is to how many peers news is pushed at once.
 	fanOut = 4
 	// callTime bounds a call to a peer.
--- a/foxtaild/internal/granter/granter.go
+++ b/foxtaild/internal/granter/granter.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -29,8 +30,11 @@
 	ringSize = 8192
 	// tickEvery is how often time alone is looked at.
 	tickEvery = 50 * time.Millisecond
-	// reportEvery is how often load reports are read.
+	// reportEvery is how often load reports are read of upstreams that are
+	// cold or whose work is not all accounted for.
 	reportEvery = 250 * time.Millisecond
+	// calmEvery is how many times less often the reports of others are read.
+	calmEvery = 4
 	// callTime bounds a call to a peer or of a load report.
 	callTime = time.Second
 	// suspectsTold bounds the suspects told to a peer at a time.
@@ -51,6 +55,7 @@
 	client    *fasthttp.Client
 	gossip    func()
 	confirm   func(context.Context)
+	round     int
 
 	mu       sync.Mutex
 	sessions map[scheduler.HostID]*session
@@ -79,10 +84,19 @@
 		arbiter:   a,
 		events:    make(chan event, ringSize),
 		done:      make(chan struct{}),
-		client:    &fasthttp.Client{Name: "foxtaild", MaxIdemponentCallAttempts: 1, ReadTimeout: callTime},
-		gossip:    func() {},
-		confirm:   func(context.Context) {},
-		sessions:  make(map[scheduler.HostID]*session),
+		client: &fasthttp.Client{
+			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, ReadTimeout: callTime,
+			Dial: func(address string) (net.Conn, error) {
+				c, err := fasthttp.DialTimeout(address, callTime)
+				if err != nil {
+					return nil, err
+				}
+				return m.Count(c), nil
+			},
+		},
+		gossip:   func() {},
+		confirm:  func(context.Context) {},
+		sessions: make(map[scheduler.HostID]*session),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -334,7 +348,16 @@
 	if s == nil || ctx.Err() != nil {
 		return
 	}
-	for _, id := range g.arbiter.Charges() {
+	g.round++
+	for i, id := range g.arbiter.Charges() {
+		switch g.arbiter.Interest(id, time.Now()) {
+		case arbiter.NoInterest:
+			continue
+		case arbiter.CalmInterest:
+			if (g.round+i)%calmEvery != 0 {
+				continue
+			}
+		}
 		if m, ok := s.Directory().Upstream(id); ok && m.Engine() {
 			go g.readReport(id, m.Address())
 		}
--- a/foxtaild/internal/granter/session.go
+++ b/foxtaild/internal/granter/session.go
@@ -148,16 +148,16 @@
 		case <-failed:
 			return nil
 		case a := <-s.answers:
-			frame.EchoNs = s.echo.Load()
+			frame.EchoUs = s.echo.Load()
 			g.collect(frame, s, a)
 		case <-tick.C:
 			if s.echo.Load() == told {
 				continue
 			}
-			frame.EchoNs = s.echo.Load()
+			frame.EchoUs = s.echo.Load()
 			frame.Summaries = g.summaries(s)
 		}
-		told = frame.EchoNs
+		told = frame.EchoUs
 		if err := stream.Send(frame); err != nil {
 			return err
 		}
@@ -205,7 +205,7 @@
 
 // receive passes what an entry says to the arbiter.
 func (g *Granter) receive(s *session, f *peerv1.EntryFrame) {
-	s.echo.Store(f.SentNs)
+	s.echo.Store(f.SentUs)
 	g.post(func(a *arbiter.Arbiter, now time.Time) (o arbiter.Orders) {
 		for _, fin := range f.Finishes {
 			o.Add(a.Finish(scheduler.NewRequestID(s.entry, fin.Id), admitter.Ending(fin.Ending), usage(fin), now))
--- a/foxtaild/internal/messenger/messenger.go
+++ b/foxtaild/internal/messenger/messenger.go
@@ -86,6 +86,9 @@
 	return m.sent.Load(), m.rcvd.Load(), m.msgs.Load()
 }
 
+// Count returns a connection whose bytes count as control.
+func (m *Messenger) Count(c net.Conn) net.Conn { return counted{Conn: c, m: m} }
+
 // counted counts a connection's bytes.
 type counted struct {
 	net.Conn
--- a/foxtaild/internal/requester/link.go
+++ b/foxtaild/internal/requester/link.go
@@ -61,6 +61,7 @@
 
 	mu       sync.Mutex
 	open     bool
+	greeted  bool
 	failedAt time.Time
 	heard    time.Time
 	// avoidUntil is until when a stopping owner is left alone.
@@ -190,6 +191,7 @@
 		return
 	}
 	l.open = true
+	l.greeted = false
 	l.heard = time.Now()
 	go l.run()
 }
@@ -278,8 +280,11 @@
 		Asks:        l.out.Asks,
 		Finishes:    l.out.Finishes,
 		Withdrawals: l.out.Withdrawals,
-		SentNs:      uint64(time.Since(l.epoch)),
-		Host:        string(l.self),
+		SentUs:      uint64(time.Since(l.epoch).Microseconds()),
+	}
+	if !l.greeted {
+		l.greeted = true
+		frame.Host = string(l.self)
 	}
 	l.out = peerv1.EntryFrame{}
 	return frame, true
@@ -290,7 +295,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = time.Now()
-	echo := l.epoch.Add(time.Duration(f.EchoNs))
+	echo := l.epoch.Add(time.Duration(f.EchoUs) * time.Microsecond)
 	for _, g := range f.Grants {
 		l.granted(g, echo)
 	}
--- a/foxtaild/internal/requester/requester.go
+++ b/foxtaild/internal/requester/requester.go
@@ -143,10 +143,12 @@
 	links map[scheduler.HostID]*link
 }
 
-// New returns a requester whose streams live until ctx is done.
+// New returns a requester whose streams live until ctx is done. Requests are
+// numbered from a random start, so that an owner does not take the first ones
+// of a process for those of the one before.
 func New(ctx context.Context, k *keeper.Keeper, m *messenger.Messenger) *Requester {
 	r := &Requester{ctx: ctx, keeper: k, messenger: m, links: make(map[scheduler.HostID]*link)}
-	r.seq.Store(uint64(time.Now().UnixNano()))
+	r.seq.Store(uint64(rand.Uint32()))
 	r.atlas.Store(&atlas{})
 	k.OnState(func(s *keeper.State) { r.chart(s, k.Hosts()) })
 	k.OnHosts(func(hosts []scheduler.Host) { r.chart(k.State(), hosts) })
--- a/foxtailtry/main.go
+++ b/foxtailtry/main.go
@@ -37,8 +37,14 @@
 	returnsAt = 0.65
 )
 
-// commandLine is the program's flags.
+// commandLine is the program's commands.
 type commandLine struct {
+	Run      runCmd      `cmd:"" default:"withargs" help:"Run an example under load."`
+	Capacity capacityCmd `cmd:"" help:"Measure how control grows with the number of hosts."`
+}
+
+// runCmd runs an example under load.
+type runCmd struct {
 	Example  string        `arg:"" optional:"" help:"Directory with config.yaml and scenario.yaml." default:"examples/benjelloun" type:"existingdir"`
 	Duration time.Duration `help:"Length of the load." default:"20s"`
 	Load     float64       `help:"Load, as a multiple of the scenario's." default:"1"`
@@ -52,7 +58,7 @@
 }
 
 // Validate checks the flags.
-func (c commandLine) Validate() error {
+func (c runCmd) Validate() error {
 	if c.Duration < time.Second || c.Load <= 0 {
 		return eris.New("--duration must be at least 1s and --load above 0")
 	}
@@ -62,22 +68,31 @@
 func main() {
 	var cli commandLine
 	k := kong.Parse(&cli, kong.Name("foxtailtry"), kong.Description("Runs hosts and stand-ins in one process and measures them under load."))
-	r, err := cli.run()
-	k.FatalIfErrorf(err)
-	if cli.Plot != "" {
-		k.FatalIfErrorf(plotter.Save(r, cli.Plot))
+	k.FatalIfErrorf(k.Run())
+}
+
+// Run runs the trial and prints its report.
+func (c runCmd) Run() error {
+	r, err := c.trial()
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := plotter.Save(r, c.Plot); err != nil {
+			return err
+		}
 	}
-	if !cli.JSON {
+	if !c.JSON {
 		r.Write(os.Stdout)
-		return
+		return nil
 	}
 	e := json.NewEncoder(os.Stdout)
 	e.SetIndent("", "  ")
-	k.FatalIfErrorf(e.Encode(r))
+	return e.Encode(r)
 }
 
-// run runs the trial.
-func (c commandLine) run() (r tallier.Report, err error) {
+// trial runs the trial.
+func (c runCmd) trial() (r tallier.Report, err error) {
 	path := filepath.Join(c.Example, "config.yaml")
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -109,7 +124,7 @@
 }
 
 // measure sends the load and makes the report.
-func (c commandLine) measure(w *world.World) (r tallier.Report, err error) {
+func (c runCmd) measure(w *world.World) (r tallier.Report, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var target loader.Target
@@ -143,12 +158,12 @@
 }
 
 // drains reports whether a failure domain leaves in this trial.
-func (c commandLine) drains() bool { return !c.NoDrain && c.Policy == ownPolicy }
+func (c runCmd) drains() bool { return !c.NoDrain && c.Policy == ownPolicy }
 
 // startChange takes a failure domain out and back in while the load runs. The
 // returned function waits for that and returns how many requests the domain's
 // engines started in the time in which they should have got none.
-func (c commandLine) startChange(w *world.World) func() int {
+func (c runCmd) startChange(w *world.World) func() int {
 	if !c.drains() || w.Scenario().Drain == "" {
 		return func() int { return 0 }
 	}
@@ -182,7 +197,7 @@
 }
 
 // progress prints a live line to standard error.
-func (c commandLine) progress(ctx context.Context, t *tallier.Tallier) {
+func (c runCmd) progress(ctx context.Context, t *tallier.Tallier) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
--- a/foxtailtry/world/world.go
+++ b/foxtailtry/world/world.go
@@ -54,6 +54,8 @@
 	servers  []*http.Server
 	log      *slog.Logger
 	warm     bool
+	lag      time.Duration
+	loan     time.Duration
 
 	mu      sync.Mutex
 	version uint64
@@ -89,6 +91,12 @@
 	return func(x *World) { x.warm = warm }
 }
 
+// WithLease sets the daemons' bound on the lag of the host list and how long
+// shares stay lent.
+func WithLease(lag, loan time.Duration) Option {
+	return func(x *World) { x.lag, x.loan = lag, loan }
+}
+
 // Key returns the API key of a workspace in a trial.
 func Key(workspace string) string { return "trial-" + workspace }
 
@@ -102,6 +110,8 @@
 		services: make(map[string]*service.Service),
 		log:      slog.New(slog.DiscardHandler),
 		version:  doc.Version,
+		lag:      listLag,
+		loan:     loan,
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -196,7 +206,7 @@
 			Host: spec.Name, Domain: spec.Domain, Region: regions[spec.Domain],
 			Listen: ports[0], Peers: ports[1], Admin: ports[2], Platform: address,
 			KeyPepper: pepper, TicketKey: ticketKey,
-			ListLag: listLag, Loan: loan, StopAfter: time.Minute,
+			ListLag: w.lag, Loan: w.loan, StopAfter: time.Minute,
 		}})
 	}
 	w.platform.SetHosts(lo.Map(w.hosts, func(h *Host, _ int) platform.Host {
@@ -282,6 +292,14 @@
 	return w.publish()
 }
 
+// InForce reports whether the version published last is in force on every
+// host.
+func (w *World) InForce() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return lo.EveryBy(w.hosts, func(h *Host) bool { return h.daemon.Status().Version == w.version })
+}
+
 // Drain takes a failure domain out of service, or all back in for "".
 func (w *World) Drain(domain string) error {
 	return w.Change(func(d *contract.Document) {
--- a/scheduler/admitter/admitter_test.go
+++ b/scheduler/admitter/admitter_test.go
@@ -95,10 +95,14 @@
 	b := newBench(2)
 	id, _ := b.ask("w", 0, time.Minute, admitter.WithTokens(10, 10))
 	b.pool.Finish(id, admitter.Complete, admitter.NewUsage(10, 500*time.Millisecond, 1500*time.Millisecond), b.now)
+	for range 3 {
+		_, _ = b.ask("w", 0, time.Minute, admitter.WithTokens(10, 10))
+	}
 	_, o := b.ask("w", 0, 5*time.Second, admitter.WithTokens(10, 100))
 	if len(o.Refusals()) != 1 || o.Refusals()[0].Reason() != admitter.Late {
-		t.Errorf("100 tokens at 100 ms each within 5 s: got %v", o)
+		t.Errorf("100 tokens at 100 ms each within 5 s, behind another: got %v", o)
 	}
+	b.slots("u", 9)
 	_, o = b.ask("w", 0, 15*time.Second, admitter.WithTokens(10, 100))
 	if len(o.Grants()) != 1 {
 		t.Errorf("100 tokens at 100 ms each within 15 s: got %v", o)
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -413,6 +413,33 @@
 	return now.Add(-unseen)
 }
 
+// Interest says how closely an upstream's load reports should be followed.
+type Interest int
+
+// The interests, from none to the closest.
+const (
+	// NoInterest is in upstreams whose share this host has lent.
+	NoInterest Interest = iota
+	// CalmInterest is in warm upstreams on which all work is accounted for.
+	CalmInterest
+	// CloseInterest is in upstreams that are cold, or on which a share has
+	// just come or others have work.
+	CloseInterest
+)
+
+// Interest returns how closely an upstream's load reports should be followed.
+func (a *Arbiter) Interest(id scheduler.UpstreamID, now time.Time) Interest {
+	c, ok := a.charges[id]
+	if !ok || a.leases.Lent(id, now) {
+		return NoInterest
+	}
+	verified := a.leases.GrownSince(id, now).Before(a.verified(c, now))
+	if verified && !c.ramp.Cold() && a.pool(c.spec.pool).pool.Foreign(id) == 0 {
+		return CalmInterest
+	}
+	return CloseInterest
+}
+
 // Lend answers a guardian that wants this host's share of an upstream.
 func (a *Arbiter) Lend(id scheduler.UpstreamID, borrower scheduler.HostID, now time.Time) (shares []leaser.Share, lent bool) {
 	c, ok := a.charges[id]
@@ -521,7 +548,7 @@
 		a.take(p.pool.Tick(now), &o)
 		a.requestShut(p, now, &o)
 	}
-	if now.Sub(a.renewed) >= a.leases.Loan()/3 && !a.stopping {
+	if now.Sub(a.renewed) >= a.leases.Loan()/2 && !a.stopping {
 		a.renewed = now
 		o.loans = append(o.loans, a.borrow(now)...)
 	}
--- a/scheduler/leaser/leaser.go
+++ b/scheduler/leaser/leaser.go
@@ -246,6 +246,11 @@
 	return shares, true
 }
 
+// Lent reports whether this host's share of an upstream is lent.
+func (l *Leaser) Lent(upstream scheduler.UpstreamID, now time.Time) bool {
+	return now.Before(l.holding(upstream).lent.until)
+}
+
 // prefers reports whether borrower ranks above this host for the upstream.
 func (l *Leaser) prefers(upstream scheduler.UpstreamID, borrower scheduler.HostID) bool {
 	for _, id := range l.Guardians(upstream) {
