--- /dev/null
+++ b/contract/bundler/bundler_test.go
@@ -0,0 +1,118 @@
+package bundler_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"foxtaillug.org/contract"
+	"foxtaillug.org/contract/bundler"
+)
+
+// document returns a document with n upstreams.
+func document(n int) contract.Document {
+	d := contract.Document{
+		Version:    7,
+		Regions:    []contract.Region{{Name: "r"}},
+		Domains:    []contract.Domain{{Name: "d", Region: "r"}},
+		Tiers:      []contract.Tier{{Name: "t", WaitSeconds: 3}},
+		Models:     []contract.Model{{Name: "m"}},
+		Workspaces: []contract.Workspace{{Name: "w", Tier: "t"}},
+		Attended:   contract.Attended{TimeZone: "UTC", Days: []string{"mon"}, Opens: "08:00", Closes: "09:00"},
+		Drains:     contract.Drains{Domains: []string{"d"}},
+		Limits:     contract.Limits{Queue: 5, BodyBytes: 9},
+	}
+	for i := range n {
+		d.Upstreams = append(d.Upstreams, contract.Upstream{Name: fmt.Sprint("u", i), Domain: "d", Address: fmt.Sprintf("10.0.%d.%d:1", i/200, i%200), Models: []string{"m"}, ColdLimit: 1, Limit: 2})
+	}
+	return d
+}
+
+func TestRoundTrip(t *testing.T) {
+	want := document(450)
+	b, err := bundler.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, dir, err := bundler.Open(b.Manifest(), func(d string) ([]byte, error) { return b.Part(d), nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Version() != b.Version() || got.Version().Number() != 7 {
+		t.Errorf("version %v became %v", b.Version(), got.Version())
+	}
+	if fmt.Sprint(dir.Document()) != fmt.Sprint(want.WithDefaults()) {
+		t.Errorf("the document changed:\n%+v\n%+v", dir.Document(), want)
+	}
+}
+
+func TestTornAndForgedBundlesAreRefusedWhole(t *testing.T) {
+	b, err := bundler.Encode(document(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := eris.New("lost")
+	tests := map[string]struct {
+		manifest []byte
+		part     func(string) ([]byte, error)
+		want     error
+	}{
+		"part is missing": {manifest: b.Manifest(), part: func(string) ([]byte, error) { return nil, lost }, want: lost},
+		"part is torn":    {manifest: b.Manifest(), part: func(d string) ([]byte, error) { return b.Part(d)[1:], nil }, want: bundler.ErrCorrupt},
+		"part is another": {manifest: b.Manifest(), part: func(string) ([]byte, error) { return b.Part(b.Digests()[0]), nil }, want: bundler.ErrCorrupt},
+		"parts left out":  {manifest: bytes.Replace(b.Manifest(), []byte(b.Digests()[0]), []byte(b.Digests()[1]), 1), part: func(d string) ([]byte, error) { return b.Part(d), nil }, want: bundler.ErrCorrupt},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, _, err := bundler.Open(x.manifest, x.part); !eris.Is(err, x.want) {
+				t.Errorf("got %v, want %v", err, x.want)
+			}
+		})
+	}
+}
+
+func TestSmallChangeRenewsFewParts(t *testing.T) {
+	before, err := bundler.Encode(document(450))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := document(450)
+	changed.Version, changed.Drains = 8, contract.Drains{}
+	after, err := bundler.Encode(changed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	renewed := 0
+	for _, d := range after.Digests() {
+		if before.Part(d) == nil {
+			renewed++
+		}
+	}
+	if renewed != 1 {
+		t.Errorf("a drain renews %d parts, want 1", renewed)
+	}
+}
+
+func ExampleDiff() {
+	from, to := document(2), document(3)
+	to.Drains.Domains = nil
+	for _, line := range bundler.Diff(from, to) {
+		fmt.Println(line)
+	}
+	// Output:
+	// upstream u2 is added
+	// failure domain d comes back into service
+}
+
+func FuzzReadManifest(f *testing.F) {
+	b, _ := bundler.Encode(document(1))
+	f.Add(b.Manifest())
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m, v, err := bundler.ReadManifest(text)
+		if err == nil && (v.Number() != m.Version || len(m.Parts) == 0) {
+			t.Errorf("%q was taken for %v", text, v)
+		}
+	})
+}
--- a/foxtaild/internal/receiver/completion.go
+++ b/foxtaild/internal/receiver/completion.go
@@ -270,7 +270,7 @@
 // when nothing more waits to be read, so that each token leaves as it comes.
 // Done reports whether the last event was seen.
 func copyEvents(in *bufio.Reader, out *bufio.Writer, first func()) (tokens int, done bool, err error) {
-	for {
+	for begins := true; ; {
 		line, err := in.ReadSlice('\n')
 		if len(line) > 0 {
 			if _, werr := out.Write(line); werr != nil {
@@ -278,6 +278,7 @@
 			}
 		}
 		switch {
+		case !begins:
 		case bytes.HasPrefix(line, []byte(doneEvent)):
 			done = true
 		case bytes.HasPrefix(line, []byte("data:")):
@@ -286,7 +287,7 @@
 			}
 			tokens++
 		}
-		if err == bufio.ErrBufferFull {
+		if begins = err != bufio.ErrBufferFull; !begins {
 			continue
 		}
 		if err != nil || in.Buffered() == 0 {
