scheduler, contract: split the arbiter and the admitter; one form for status and explanations

Change: arbiter into events, upstreams, loans and shuts; admitter into queueing, pressure and slots; contract holds HostStatus and Explanation. An owner that woke up waits for a load report that is younger; an upstream that has been silent for 5 s is taken for cold; leaving by load report is part of the random schedules.

--- /dev/null
+++ b/contract/status.go
@@ -0,0 +1,50 @@
+package contract
+
+import "time"
+
+// HostStatus is what operators see of a host. The fields are the wire format
+// of the admin interface.
+type HostStatus struct {
+	Host          string           `json:"host"`
+	Incarnation   string           `json:"incarnation"`
+	Ready         bool             `json:"ready"`
+	Stopping      bool             `json:"stopping"`
+	Version       uint64           `json:"version"`
+	Digest        string           `json:"digest"`
+	InForceSince  time.Time        `json:"inForceSince"`
+	Conflict      bool             `json:"conflict"`
+	Hosts         int              `json:"hosts"`
+	InProgress    int64            `json:"inProgress"`
+	ControlSent   int64            `json:"controlBytesSent"`
+	ControlRead   int64            `json:"controlBytesReceived"`
+	ControlWrites int64            `json:"controlWrites"`
+	Upstreams     []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is what operators see of an upstream at a host. The fields
+// are the wire format of the admin interface.
+type UpstreamStatus struct {
+	Name    string `json:"name"`
+	Slots   int    `json:"slots"`
+	Limit   int    `json:"limit"`
+	Running int    `json:"running"`
+	Cold    bool   `json:"cold"`
+	State   string `json:"state"`
+}
+
+// Explanation is what a host knows of one request. The fields are the wire
+// format of the admin interface.
+type Explanation struct {
+	RequestID  string    `json:"requestId"`
+	At         time.Time `json:"at"`
+	Workspace  string    `json:"workspace"`
+	Tier       string    `json:"tier"`
+	Pool       string    `json:"pool"`
+	Owner      string    `json:"owner,omitempty"`
+	Upstream   string    `json:"upstream,omitempty"`
+	Outcome    string    `json:"outcome"`
+	Reason     string    `json:"reason,omitempty"`
+	WaitedMs   int64     `json:"waitedMs"`
+	TotalMs    int64     `json:"totalMs"`
+	Dispatches int       `json:"dispatches"`
+}
--- a/foxtailctl/commander/hosts.go
+++ b/foxtailctl/commander/hosts.go
@@ -48,34 +48,11 @@
 	}
 }
 
-// hostStatus is the part of a host's status that is shown. The fields are the
-// wire format of the admin interface.
+// hostStatus is a host's status and where it was asked.
 type hostStatus struct {
-	Address       string           `json:"address"`
-	Error         string           `json:"error,omitempty"`
-	Host          string           `json:"host"`
-	Ready         bool             `json:"ready"`
-	Stopping      bool             `json:"stopping"`
-	Version       uint64           `json:"version"`
-	Digest        string           `json:"digest"`
-	InForceSince  time.Time        `json:"inForceSince"`
-	Conflict      bool             `json:"conflict"`
-	Hosts         int              `json:"hosts"`
-	InProgress    int64            `json:"inProgress"`
-	ControlSent   int64            `json:"controlBytesSent"`
-	ControlRead   int64            `json:"controlBytesReceived"`
-	ControlWrites int64            `json:"controlWrites"`
-	Upstreams     []upstreamStatus `json:"upstreams"`
-}
-
-// upstreamStatus is an upstream at a host.
-type upstreamStatus struct {
-	Name    string `json:"name"`
-	Slots   int    `json:"slots"`
-	Limit   int    `json:"limit"`
-	Running int    `json:"running"`
-	Cold    bool   `json:"cold"`
-	State   string `json:"state"`
+	Address string `json:"address"`
+	Error   string `json:"error,omitempty"`
+	contract.HostStatus
 }
 
 // statusCmd shows what is in force.
@@ -169,34 +146,18 @@
 	RequestID string `arg:"" help:"Foxtail-Request-Id of the answer."`
 }
 
-// explanation is what a host knows of a request.
-type explanation struct {
-	RequestID  string    `json:"requestId"`
-	At         time.Time `json:"at"`
-	Workspace  string    `json:"workspace"`
-	Tier       string    `json:"tier"`
-	Pool       string    `json:"pool"`
-	Owner      string    `json:"owner,omitempty"`
-	Upstream   string    `json:"upstream,omitempty"`
-	Outcome    string    `json:"outcome"`
-	Reason     string    `json:"reason,omitempty"`
-	WaitedMs   int64     `json:"waitedMs"`
-	TotalMs    int64     `json:"totalMs"`
-	Dispatches int       `json:"dispatches"`
-}
-
 // Run asks every host for the request.
 func (c explainCmd) Run(o output) error {
 	answered := 0
 	for _, host := range c.Hosts {
-		var e explanation
+		var e contract.Explanation
 		found, err := get(host, "/explain/"+url.PathEscape(c.RequestID), &e)
 		if err != nil {
 			continue
 		}
 		answered++
 		if found {
-			return o.print(e, func(w io.Writer) { e.write(w) })
+			return o.print(e, func(w io.Writer) { writeExplanation(w, e) })
 		}
 	}
 	if answered == 0 {
@@ -205,8 +166,8 @@
 	return eris.Wrapf(errFault, "no host that answered knows request %s", c.RequestID)
 }
 
-// write prints an explanation in words.
-func (e explanation) write(w io.Writer) {
+// writeExplanation prints an explanation in words.
+func writeExplanation(w io.Writer, e contract.Explanation) {
 	_, _ = fmt.Fprintf(w, "request %s of workspace %s (tier %s) for %s at %s\n", e.RequestID, e.Workspace, e.Tier, e.Pool, e.At.Format(time.RFC3339))
 	if e.Owner != "" {
 		_, _ = fmt.Fprintf(w, "asked host %s and waited %d ms\n", e.Owner, e.WaitedMs)
--- a/foxtaild/daemon/admin.go
+++ b/foxtaild/daemon/admin.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/lo"
 
-	"foxtaillug.org/scheduler/arbiter"
+	"foxtaillug.org/contract"
 )
 
 const (
@@ -18,38 +18,9 @@
 	gaugeEvery = time.Second
 )
 
-// Status is what operators see of a host. The fields are the wire format of
-// the admin interface.
-type Status struct {
-	Host          string           `json:"host"`
-	Incarnation   string           `json:"incarnation"`
-	Ready         bool             `json:"ready"`
-	Stopping      bool             `json:"stopping"`
-	Version       uint64           `json:"version"`
-	Digest        string           `json:"digest"`
-	InForceSince  time.Time        `json:"inForceSince"`
-	Conflict      bool             `json:"conflict"`
-	Hosts         int              `json:"hosts"`
-	InProgress    int64            `json:"inProgress"`
-	ControlSent   int64            `json:"controlBytesSent"`
-	ControlRead   int64            `json:"controlBytesReceived"`
-	ControlWrites int64            `json:"controlWrites"`
-	Upstreams     []UpstreamStatus `json:"upstreams"`
-}
-
-// UpstreamStatus is what operators see of an upstream at a host.
-type UpstreamStatus struct {
-	Name    string `json:"name"`
-	Slots   int    `json:"slots"`
-	Limit   int    `json:"limit"`
-	Running int    `json:"running"`
-	Cold    bool   `json:"cold"`
-	State   string `json:"state"`
-}
-
 // Status returns what operators see of this host.
-func (d *Daemon) Status() Status {
-	s := Status{
+func (d *Daemon) Status() contract.HostStatus {
+	s := contract.HostStatus{
 		Host:        d.settings.Host,
 		Incarnation: string(d.incarnation),
 		Ready:       d.Ready(),
@@ -57,14 +28,14 @@
 		Conflict:    d.keeper.Conflict(),
 		Hosts:       len(d.keeper.Hosts()),
 		InProgress:  d.receiver.InProgress(),
-		Upstreams:   []UpstreamStatus{},
+		Upstreams:   []contract.UpstreamStatus{},
 	}
 	s.ControlSent, s.ControlRead, s.ControlWrites = d.messenger.Traffic()
 	if state := d.keeper.State(); state != nil {
 		s.Version, s.Digest, s.InForceSince = state.Version().Number(), state.Version().Digest(), state.Since()
 	}
 	for _, u := range d.granter.Status() {
-		s.Upstreams = append(s.Upstreams, UpstreamStatus{
+		s.Upstreams = append(s.Upstreams, contract.UpstreamStatus{
 			Name: string(u.ID()), Slots: u.Slots(), Limit: u.Limit(), Running: u.Running(), Cold: u.Cold(), State: u.Closed(),
 		})
 	}
@@ -127,11 +98,8 @@
 		d.reporter.Gauge("in_progress", nil, float64(s.InProgress))
 		d.reporter.Gauge("control_bytes", nil, float64(s.ControlSent+s.ControlRead))
 		d.reporter.Gauge("control_writes", nil, float64(s.ControlWrites))
-		d.reporter.Gauge("upstreams_cold", nil, float64(lo.CountBy(s.Upstreams, func(u UpstreamStatus) bool { return u.Cold })))
-		d.reporter.Gauge("slots", nil, float64(lo.SumBy(s.Upstreams, func(u UpstreamStatus) int { return u.Slots })))
-		d.reporter.Gauge("running", nil, float64(lo.SumBy(s.Upstreams, func(u UpstreamStatus) int { return u.Running })))
+		d.reporter.Gauge("upstreams_cold", nil, float64(lo.CountBy(s.Upstreams, func(u contract.UpstreamStatus) bool { return u.Cold })))
+		d.reporter.Gauge("slots", nil, float64(lo.SumBy(s.Upstreams, func(u contract.UpstreamStatus) int { return u.Slots })))
+		d.reporter.Gauge("running", nil, float64(lo.SumBy(s.Upstreams, func(u contract.UpstreamStatus) int { return u.Running })))
 	}
 }
-
-// Waiting returns the upstreams of this host, for tools in the same process.
-func (d *Daemon) Waiting() []arbiter.Status { return d.granter.Status() }
--- a/foxtaild/internal/receiver/receiver.go
+++ b/foxtaild/internal/receiver/receiver.go
@@ -178,7 +178,7 @@
 	arrived  time.Time
 	deadline time.Time
 	pool     scheduler.PoolID
-	entry    reporter.Entry
+	entry    contract.Explanation
 	release  func()
 }
 
@@ -218,7 +218,7 @@
 	now := time.Now()
 	k := &call{id: id, dir: dir, standing: standing, arrived: now}
 	k.deadline = now.Add(timeLimit(c, standing.Wait()))
-	k.entry = reporter.Entry{RequestID: id, At: now, Workspace: string(standing.ID()), Tier: standing.TierName()}
+	k.entry = contract.Explanation{RequestID: id, At: now, Workspace: string(standing.ID()), Tier: standing.TierName()}
 	ctx, cancel := context.WithDeadline(context.Background(), k.deadline)
 	k.ctx = r.reporter.Propagator().Extract(ctx, headerCarrier{&c.Request().Header})
 	var once sync.Once
--- a/foxtaild/internal/reporter/reporter.go
+++ b/foxtaild/internal/reporter/reporter.go
@@ -20,6 +20,8 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+
+	"foxtaillug.org/contract"
 )
 
 const (
@@ -36,23 +38,6 @@
 	5 * time.Second, 20 * time.Second, 60 * time.Second,
 }
 
-// Entry is what explain tells of one request. Its fields are the wire format
-// of the admin interface.
-type Entry struct {
-	RequestID  string    `json:"requestId"`
-	At         time.Time `json:"at"`
-	Workspace  string    `json:"workspace"`
-	Tier       string    `json:"tier"`
-	Pool       string    `json:"pool"`
-	Owner      string    `json:"owner,omitempty"`
-	Upstream   string    `json:"upstream,omitempty"`
-	Outcome    string    `json:"outcome"`
-	Reason     string    `json:"reason,omitempty"`
-	WaitedMs   int64     `json:"waitedMs"`
-	TotalMs    int64     `json:"totalMs"`
-	Dispatches int       `json:"dispatches"`
-}
-
 // Reporter collects one host's metrics, traces and explanations. It is safe
 // for concurrent use.
 type Reporter struct {
@@ -63,7 +48,7 @@
 	tracer   trace.Tracer
 
 	mu      sync.Mutex
-	entries map[string]*Entry
+	entries map[string]*contract.Explanation
 	order   [remembered]string
 	next    int
 }
@@ -114,7 +99,7 @@
 		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, scopeEvery)
-	r = &Reporter{scope: scope, closer: closer, metrics: metrics.HTTPHandler(), entries: make(map[string]*Entry)}
+	r = &Reporter{scope: scope, closer: closer, metrics: metrics.HTTPHandler(), entries: make(map[string]*contract.Explanation)}
 	if err := r.startTraces(host, o); err != nil {
 		return nil, err
 	}
@@ -161,7 +146,7 @@
 }
 
 // Ended counts a request that has ended and keeps it for explain.
-func (r *Reporter) Ended(e Entry) {
+func (r *Reporter) Ended(e contract.Explanation) {
 	tags := map[string]string{"tier": e.Tier, "outcome": e.Outcome, "reason": e.Reason}
 	r.scope.Tagged(tags).Counter("requests").Inc(1)
 	r.scope.Tagged(map[string]string{"tier": e.Tier}).Histogram("total", latencyBuckets).RecordDuration(time.Duration(e.TotalMs) * time.Millisecond)
@@ -180,12 +165,12 @@
 }
 
 // Explain returns what is known of a request.
-func (r *Reporter) Explain(id string) (Entry, bool) {
+func (r *Reporter) Explain(id string) (contract.Explanation, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, ok := r.entries[id]
 	if !ok {
-		return Entry{}, false
+		return contract.Explanation{}, false
 	}
 	return *e, true
 }
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -30,6 +30,10 @@
 // been paused, and its knowledge may be old.
 const wakeGap = time.Second
 
+// silenceFor is how long an upstream that has published load reports may be
+// silent before it is taken for cold.
+const silenceFor = 5 * time.Second
+
 // transit bounds how long a request is on its way after it was dispatched.
 const transit = 250 * time.Millisecond
 
@@ -74,6 +78,7 @@
 	digests   map[scheduler.RequestID]quarantiner.Digest
 	renewed   time.Time
 	seen      time.Time
+	woke      time.Time
 	doubting  bool
 	stopping  bool
 }
@@ -209,47 +214,9 @@
 	return p
 }
 
-// meetOwners tells each pool's ladder who the other owners are.
-func (a *Arbiter) meetOwners(now time.Time) {
-	owners := a.owners()
-	for id, p := range a.pools {
-		p.ladder.SetPeers(lo.Without(owners[id], a.self.ID()), now)
-	}
-}
-
-// owners returns the owners of each pool over all regions.
-func (a *Arbiter) owners() map[scheduler.PoolID][]scheduler.HostID {
-	byRegion := lo.GroupBy(a.upstreams, func(u Upstream) scheduler.RegionID { return u.region })
-	owners := make(map[scheduler.PoolID][]scheduler.HostID)
-	for region, upstreams := range byRegion {
-		t := Territory(a.hosts, region, len(upstreams))
-		for _, u := range upstreams {
-			if g := t.Guardians(u.id); len(g) > 0 {
-				owners[u.pool] = append(owners[u.pool], g[0])
-			}
-		}
-	}
-	return lo.MapValues(owners, func(ids []scheduler.HostID, _ scheduler.PoolID) []scheduler.HostID { return lo.Uniq(ids) })
-}
-
-// closePools closes the upstreams that get nothing new, and opens the others.
-func (a *Arbiter) closePools() {
-	for id, c := range a.charges {
-		a.pool(c.spec.pool).pool.SetClosed(id, a.drains.Upstream(id, c.spec.domain) != drainer.Open)
-	}
-}
-
-// SetLeaving takes what a source says of an upstream on its way out.
-func (a *Arbiter) SetLeaving(id scheduler.UpstreamID, source string, leaving bool) {
-	a.drains.SetLeaving(id, source, leaving)
-	if c, ok := a.charges[id]; ok {
-		a.pool(c.spec.pool).pool.SetClosed(id, a.drains.Upstream(id, c.spec.domain) != drainer.Open)
-	}
-}
-
 // wake notices that this process was paused. It then grants nothing until
-// its configuration is confirmed: an upstream may have been taken out of
-// service meanwhile.
+// its configuration is confirmed, and nothing on an upstream before its next
+// load report: either may have been taken out of service meanwhile.
 func (a *Arbiter) wake(now time.Time, o *Orders) {
 	gap := now.Sub(a.seen)
 	a.seen = now
@@ -257,6 +224,7 @@
 		return
 	}
 	a.doubting = true
+	a.woke = now
 	o.confirm = true
 	a.resize(now, o)
 }
@@ -331,88 +299,6 @@
 	return o
 }
 
-// learn draws conclusions on an upstream from how a request ended.
-func (a *Arbiter) learn(upstream scheduler.UpstreamID, id scheduler.RequestID, digest quarantiner.Digest, ending admitter.Ending, granted time.Time, g admitter.Usage, now time.Time, o *Orders) {
-	c, ok := a.charges[upstream]
-	if !ok {
-		return
-	}
-	switch ending {
-	case admitter.Complete:
-		c.ramp.Succeeded(granted, g.FirstToken(), g.PerToken(), now)
-	case admitter.Unreached:
-		c.ramp.Crashed(now)
-		c.unreached = now
-		a.SetLeaving(upstream, sourceUnreached, true)
-	case admitter.Crashed:
-		c.ramp.Crashed(now)
-		a.pool(c.spec.pool).pool.Restarted(upstream)
-		a.suspects.Crashed([]quarantiner.Digest{digest}, now)
-		o.suspects = true
-	}
-}
-
-// Reported takes an upstream's load report.
-func (a *Arbiter) Reported(id scheduler.UpstreamID, r ramper.Report, leaving bool, now time.Time) (o Orders) {
-	a.wake(now, &o)
-	c, ok := a.charges[id]
-	if !ok || r.Taken().Before(c.reported) {
-		return o
-	}
-	c.reported = r.Taken()
-	c.ramp.Reported(r, now)
-	a.SetLeaving(id, sourceReport, leaving)
-	a.boundForeign(c, r, now)
-	a.resizeOne(id, now, &o)
-	return o
-}
-
-// boundForeign bounds what others have on an upstream. Of the reported
-// requests, those this host granted long enough before the report, and which
-// still run, are its own for certain; the rest may be others'. The bound
-// falls with each report and is made anew only when a share was added.
-func (a *Arbiter) boundForeign(c *charge, r ramper.Report, now time.Time) {
-	p := a.pool(c.spec.pool).pool
-	settled := r.Taken().Add(-unseen)
-	_, own := p.Running(c.spec.id, settled)
-	bound := max(r.Running()-own, 0)
-	grown := a.leases.GrownSince(c.spec.id, now)
-	if grown.After(c.bounded) && grown.Before(settled) {
-		c.bounded = settled
-		p.SetForeign(c.spec.id, bound)
-		return
-	}
-	p.SetForeign(c.spec.id, min(p.Foreign(c.spec.id), bound))
-}
-
-// resize works out the slots of every upstream anew.
-func (a *Arbiter) resize(now time.Time, o *Orders) {
-	for _, id := range a.order {
-		a.resizeOne(id, now, o)
-	}
-}
-
-// resizeOne works out the slots of one upstream anew.
-func (a *Arbiter) resizeOne(id scheduler.UpstreamID, now time.Time, o *Orders) {
-	c, ok := a.charges[id]
-	if !ok {
-		return
-	}
-	slots, until := a.leases.Slots(id, c.ramp.Limit(), a.verified(c, now), now)
-	if a.doubting {
-		slots, until = 0, now
-	}
-	a.take(a.pool(c.spec.pool).pool.SetSlots(id, slots, until, now), o)
-}
-
-// verified returns the time before which a share must have come to count.
-func (a *Arbiter) verified(c *charge, now time.Time) time.Time {
-	if c.spec.reports {
-		return c.reported.Add(-unseen)
-	}
-	return now.Add(-unseen)
-}
-
 // Interest says how closely an upstream's load reports should be followed.
 type Interest int
 
@@ -427,96 +313,6 @@
 	CloseInterest
 )
 
-// Interest returns how closely an upstream's load reports should be followed.
-func (a *Arbiter) Interest(id scheduler.UpstreamID, now time.Time) Interest {
-	c, ok := a.charges[id]
-	if !ok || a.leases.Lent(id, now) {
-		return NoInterest
-	}
-	verified := a.leases.GrownSince(id, now).Before(a.verified(c, now))
-	if verified && !c.ramp.Cold() && a.pool(c.spec.pool).pool.Foreign(id) == 0 {
-		return CalmInterest
-	}
-	return CloseInterest
-}
-
-// Lend answers a guardian that wants this host's share of an upstream.
-func (a *Arbiter) Lend(id scheduler.UpstreamID, borrower scheduler.HostID, now time.Time) (shares []leaser.Share, lent bool) {
-	c, ok := a.charges[id]
-	if !ok {
-		return nil, false
-	}
-	p := a.pool(c.spec.pool).pool
-	running, _ := p.Running(id, now)
-	if !c.spec.reports && running > 0 {
-		return nil, false
-	}
-	shares, lent = a.leases.Lend(id, borrower, now)
-	if lent {
-		var o Orders
-		a.resizeOne(id, now, &o)
-	}
-	return shares, lent
-}
-
-// Return ends a loan that a borrower gave back.
-func (a *Arbiter) Return(id scheduler.UpstreamID, borrower scheduler.HostID, now time.Time) {
-	a.leases.Return(id, borrower, now)
-}
-
-// Borrowed takes a lender's answer to a request sent at asked.
-func (a *Arbiter) Borrowed(id scheduler.UpstreamID, lender scheduler.HostID, shares []leaser.Share, asked, now time.Time) (o Orders) {
-	a.wake(now, &o)
-	a.leases.Borrowed(id, lender, shares, asked, now)
-	a.resizeOne(id, now, &o)
-	return o
-}
-
-// Shut carries out another owner's request to refuse tiers.
-func (a *Arbiter) Shut(pool scheduler.PoolID, from scheduler.Tier, hold time.Duration, now time.Time) (o Orders) {
-	a.wake(now, &o)
-	if p, ok := a.pools[pool]; ok {
-		p.ladder.Asked(from, hold, now)
-		a.take(p.pool.Tick(now), &o)
-	}
-	return o
-}
-
-// Promised takes another owner's promise to refuse tiers, asked for at asked.
-func (a *Arbiter) Promised(pool scheduler.PoolID, by scheduler.HostID, from scheduler.Tier, hold time.Duration, asked, now time.Time) (o Orders) {
-	a.wake(now, &o)
-	p, ok := a.pools[pool]
-	if !ok {
-		return o
-	}
-	p.ladder.Promised(by, from, hold, asked, now)
-	a.take(p.pool.Tick(now), &o)
-	a.requestShut(p, now, &o)
-	return o
-}
-
-// requestShut asks the other owners to refuse tiers, if that is due.
-func (a *Arbiter) requestShut(p *poolState, now time.Time, o *Orders) {
-	from, hold, ok := p.ladder.Request(now)
-	if !ok || (from == p.from && now.Sub(p.asked) < shutEvery) {
-		return
-	}
-	p.from, p.asked = from, now
-	for _, id := range p.ladder.Peers() {
-		o.shuts = append(o.shuts, ShutRequest{to: id, pool: p.pool.ID(), from: from, hold: hold})
-	}
-}
-
-// HeardSuspect takes what a peer knows of a digest.
-func (a *Arbiter) HeardSuspect(d quarantiner.Digest, crashes int, last time.Time) {
-	a.suspects.Heard(d, crashes, last)
-}
-
-// SuspectsSince returns what was learnt of digests since a time.
-func (a *Arbiter) SuspectsSince(t time.Time, n int) []quarantiner.Entry {
-	return a.suspects.Since(t, n)
-}
-
 // Orphan takes note of an entry that can't be heard any more.
 func (a *Arbiter) Orphan(entry scheduler.HostID, now time.Time) (o Orders) {
 	a.wake(now, &o)
@@ -531,12 +327,6 @@
 	return o
 }
 
-// reports says whether an upstream publishes load reports.
-func (a *Arbiter) reports(id scheduler.UpstreamID) bool {
-	c, ok := a.charges[id]
-	return ok && c.spec.reports
-}
-
 // Tick does what time alone calls for. It is to be called some ten times a
 // second.
 func (a *Arbiter) Tick(now time.Time) (o Orders) {
@@ -555,38 +345,6 @@
 	return o
 }
 
-// reach lets upstreams be tried again that took no connection a while ago.
-func (a *Arbiter) reach(now time.Time) {
-	for id, c := range a.charges {
-		if !c.unreached.IsZero() && now.Sub(c.unreached) >= unreachedFor {
-			c.unreached = time.Time{}
-			a.SetLeaving(id, sourceUnreached, false)
-		}
-	}
-}
-
-// borrow returns the requests for shares, one for each lender.
-func (a *Arbiter) borrow(now time.Time) []LoanRequest {
-	byLender := make(map[scheduler.HostID][]scheduler.UpstreamID)
-	for _, id := range a.order {
-		for _, lender := range a.leases.Lenders(id, now) {
-			byLender[lender] = append(byLender[lender], id)
-		}
-	}
-	return loanRequests(byLender, false)
-}
-
-// loanRequests returns one request for each lender, in order.
-func loanRequests(byLender map[scheduler.HostID][]scheduler.UpstreamID, release bool) []LoanRequest {
-	lenders := lo.Keys(byLender)
-	slices.Sort(lenders)
-	return lo.Map(lenders, func(id scheduler.HostID, _ int) LoanRequest {
-		ids := byLender[id]
-		slices.Sort(ids)
-		return LoanRequest{to: id, upstreams: ids, release: release}
-	})
-}
-
 // Stop refuses what waits and all that comes, and gives borrowed shares back.
 func (a *Arbiter) Stop(now time.Time) (o Orders) {
 	a.stopping = true
--- a/scheduler/arbiter/arbiter_test.go
+++ b/scheduler/arbiter/arbiter_test.go
@@ -71,6 +71,7 @@
 	faultCrash
 	faultLoss
 	faultDrain
+	faultLeave
 	faultKinds
 )
 
@@ -101,6 +102,10 @@
 	case faultLoss:
 		f.lossy = 0.2
 		f.after(x.last, func() { f.lossy = 0 })
+	case faultLeave:
+		if b.drained.IsZero() {
+			b.drained, b.leaving = f.now, f.now
+		}
 	case faultDrain:
 		if b.drained.IsZero() {
 			f.drain(b)
--- a/scheduler/arbiter/fleet_test.go
+++ b/scheduler/arbiter/fleet_test.go
@@ -105,6 +105,7 @@
 	running   map[*job]bool
 	history   []ramper.Report
 	drained   time.Time
+	leaving   time.Time
 	most      int
 }
 
@@ -316,7 +317,7 @@
 			r, ok := b.report(f.now)
 			if ok {
 				f.after(f.delay(), func() {
-					f.on(n, func() { f.obey(n, n.arbiter.Reported(id, r, false, f.now)) })
+					f.on(n, func() { f.obey(n, n.arbiter.Reported(id, r, b.left(r.Taken()), f.now)) })
 				})
 			}
 		})
@@ -343,6 +344,11 @@
 	}
 }
 
+// left reports whether the upstream said at a time that it is leaving.
+func (b *backend) left(at time.Time) bool {
+	return !b.leaving.IsZero() && !at.Before(b.leaving)
+}
+
 // report returns the newest load that is old enough to be read.
 func (b *backend) report(now time.Time) (r ramper.Report, ok bool) {
 	for _, h := range b.history {
