placer: hosts on their way out lend and do not own; drains.hosts takes effect

Cause: a leaving host vanished from the division at once and took its shares with it, so its upstreams lost a part of their slots for the settling time; drains.hosts was read and had no effect. Change: leaving hosts stay guardians, last in order, so that ownership moves and shares do not; hosts named in drains.hosts count as leaving.

--- a/foxtaild/internal/keeper/keeper.go
+++ b/foxtaild/internal/keeper/keeper.go
@@ -3,6 +3,7 @@
 package keeper
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,18 +43,18 @@
 	state atomic.Pointer[State]
 	hosts atomic.Pointer[[]scheduler.Host]
 
-	mu        sync.Mutex
-	versions  *versioner.Versioner[*State]
-	onState   []func(*State)
-	onHosts   []func([]scheduler.Host)
-	stopping  atomic.Bool
-	listed    time.Time
-	listedNow func() time.Time
+	stopping atomic.Bool
+
+	mu       sync.Mutex
+	versions *versioner.Versioner[*State]
+	onState  []func(*State)
+	onHosts  []func([]scheduler.Host)
+	listed   []scheduler.Host
 }
 
 // New returns a keeper that knows nothing yet.
 func New(self scheduler.Host) *Keeper {
-	return &Keeper{self: self, versions: versioner.New[*State](), listedNow: time.Now}
+	return &Keeper{self: self, versions: versioner.New[*State]()}
 }
 
 // Self returns this host.
@@ -120,7 +121,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s := &State{version: v, directory: dir, bundle: bundle, since: k.listedNow()}
+	s := &State{version: v, directory: dir, bundle: bundle, since: time.Now()}
 	if err := k.versions.Apply(v, s); err != nil {
 		return err
 	}
@@ -128,6 +129,9 @@
 	for _, f := range k.onState {
 		f(s)
 	}
+	if k.listed != nil {
+		k.setHosts()
+	}
 	return nil
 }
 
@@ -149,8 +153,22 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.listed = hosts
+	k.setHosts()
+}
+
+// setHosts passes the host list on, with the hosts that operators have taken
+// out marked as leaving. The caller holds mu.
+func (k *Keeper) setHosts() {
+	hosts := slices.Clone(k.listed)
+	if s := k.state.Load(); s != nil {
+		for i, h := range hosts {
+			if slices.Contains(s.Directory().Document().Drains.Hosts, string(h.ID())) {
+				scheduler.WithLeaving(true)(&hosts[i])
+			}
+		}
+	}
 	k.hosts.Store(&hosts)
-	k.listed = k.listedNow()
 	for _, f := range k.onHosts {
 		f(hosts)
 	}
--- a/foxtaild/process_test.go
+++ b/foxtaild/process_test.go
@@ -434,16 +434,25 @@
 	}
 }
 
+// stats are the counters of an engine that are looked at.
+type stats struct {
+	Started, Completed, Running int
+}
+
+// engineStats reads an engine's counters.
+func engineStats(address string) (s stats, ok bool) {
+	resp, err := http.Get("http://" + address + "/stats")
+	if err != nil {
+		return s, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s, json.NewDecoder(resp.Body).Decode(&s) == nil
+}
+
 // engineStarted counts the requests that engines have started.
 func engineStarted(engines []string) (n int) {
 	for _, a := range engines {
-		resp, err := http.Get("http://" + a + "/stats")
-		if err != nil {
-			continue
-		}
-		var s struct{ Started int }
-		_ = json.NewDecoder(resp.Body).Decode(&s)
-		_ = resp.Body.Close()
+		s, _ := engineStats(a)
 		n += s.Started
 	}
 	return n
@@ -497,3 +506,55 @@
 		t.Errorf("%d bookings ran", n)
 	}
 }
+
+// TestCallerGoneCancelsTheWork has a caller leave in the middle of a long
+// stream; the engine stops working on it.
+func TestCallerGoneCancelsTheWork(t *testing.T) {
+	f := newFleet(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		f.daemons[0].call(ctx, "/v1/completions", "", `{"model":"report","prompt":"p","stream":true,"max_tokens":2000,"metadata":{"outputTokens":"2000"}}`)
+	}()
+	f.await("stream under way", func() bool { return engineStarted(f.engines) > 0 })
+	cancel()
+	<-over
+	f.await("the engines are idle", func() bool {
+		for _, a := range f.engines {
+			if s, ok := engineStats(a); !ok || s.Running > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, a := range f.engines {
+		if s, _ := engineStats(a); s.Completed > 0 {
+			t.Error("the work was finished for nobody")
+		}
+	}
+}
+
+// TestLogsHoldNoSecrets sends a key, a ticket and a body through a host, and
+// looks for them in its log.
+func TestLogsHoldNoSecrets(t *testing.T) {
+	f := newFleet(t)
+	d := f.daemons[0]
+	ctx := context.Background()
+	ticket := d.ticket(ctx)
+	d.call(ctx, "/v1/services/booking/bookings", ticket, `{"reference":"secret-reference"}`)
+	d.call(ctx, "/v1/completions", "", `{"model":"report","prompt":"secret prompt","max_tokens":2}`)
+	d.call(ctx, "/v1/completions", "", `{"model":"secret model","prompt":"secret prompt"`)
+	log, err := os.ReadFile(d.log.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, secret := range []string{apiKey, pepper, ticketKey, ticket, "secret"} {
+		if bytes.Contains(log, []byte(secret)) {
+			t.Errorf("the log holds %q", secret)
+		}
+	}
+	if !bytes.Contains(log, []byte(`"outcome":"complete"`)) {
+		t.Error("the log holds no request, so nothing was tested")
+	}
+}
--- a/foxtailtry/world/scenario.go
+++ b/foxtailtry/world/scenario.go
@@ -19,6 +19,8 @@
 	ColdSeconds float64 `yaml:"coldSeconds"`
 	// ReportLagSeconds is how old load reports are.
 	ReportLagSeconds float64 `yaml:"reportLagSeconds"`
+	// ServiceMs is how long a call of a plain service takes.
+	ServiceMs float64 `yaml:"serviceMs"`
 	// RequestsPerSecond is the load called 1.0.
 	RequestsPerSecond float64 `yaml:"requestsPerSecond"`
 	// Drain is the failure domain that leaves and returns.
--- a/foxtailtry/world/world.go
+++ b/foxtailtry/world/world.go
@@ -33,8 +33,6 @@
 	// defaults so that a trial starts soon.
 	listLag = 300 * time.Millisecond
 	loan    = time.Second
-	// serviceDelay is what a booking takes.
-	serviceDelay = 20 * time.Millisecond
 	// cacheBlocks is the size of an engine's prefix cache.
 	cacheBlocks = 2048
 	// startTime bounds the start of all hosts.
@@ -165,7 +163,7 @@
 // upstream makes the stand-in of one upstream.
 func (w *World) upstream(u contract.Upstream, seed uint64) (http.Handler, error) {
 	if u.Service != "" {
-		s := service.New(serviceDelay)
+		s := service.New(milliseconds(w.scenario.ServiceMs))
 		w.services[u.Name] = s
 		return s.Handler(), nil
 	}
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -157,19 +157,20 @@
 	return o
 }
 
-// Territory returns how the upstreams of a region are divided among hosts
-// that are not on their way out. A region without hosts is looked after by
-// all.
+// Territory returns how the upstreams of a region are divided among its
+// hosts. A region without hosts is looked after by all.
 func Territory(hosts []scheduler.Host, region scheduler.RegionID, upstreams int) placer.Territory {
-	staying := lo.Filter(hosts, func(h scheduler.Host, _ int) bool { return !h.Leaving() })
-	local := lo.Filter(staying, func(h scheduler.Host, _ int) bool { return h.Region() == region })
+	local := lo.Filter(hosts, func(h scheduler.Host, _ int) bool { return h.Region() == region })
 	if len(local) == 0 {
-		local = staying
+		local = hosts
 	}
-	ids := lo.Map(local, func(h scheduler.Host, _ int) scheduler.HostID { return h.ID() })
-	return placer.NewTerritory(ids, upstreams)
+	leaving := lo.Filter(local, func(h scheduler.Host, _ int) bool { return h.Leaving() })
+	return placer.NewTerritory(lo.Map(local, hostID), upstreams, placer.WithLeaving(lo.Map(leaving, hostID)))
 }
 
+// hostID returns a host's name.
+func hostID(h scheduler.Host, _ int) scheduler.HostID { return h.ID() }
+
 // divide works out which upstreams this host is a guardian of.
 func (a *Arbiter) divide(now time.Time) {
 	own := lo.Filter(a.upstreams, func(u Upstream, _ int) bool { return u.region == a.self.Region() })
--- a/scheduler/placer/placer_test.go
+++ b/scheduler/placer/placer_test.go
@@ -44,6 +44,24 @@
 	})
 }
 
+// TestLeavingHostsLendAndDoNotOwn marks hosts as leaving; the guardians stay
+// the same ones, and none that leaves comes before one that stays.
+func TestLeavingHostsLendAndDoNotOwn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := hosts(rapid.IntRange(1, 9).Draw(t, "hosts"))
+		leaving := rapid.SliceOfDistinct(rapid.SampledFrom(all), rapid.ID).Draw(t, "leaving")
+		before, after := placer.NewTerritory(all, 1).Guardians("u"), placer.NewTerritory(all, 1, placer.WithLeaving(leaving)).Guardians("u")
+		for i, id := range after {
+			if !slices.Contains(before, id) || len(before) != len(after) {
+				t.Fatalf("guardians %v became %v", before, after)
+			}
+			if i > 0 && !slices.Contains(leaving, id) && slices.Contains(leaving, after[i-1]) {
+				t.Fatalf("%s leaves and comes before %s", after[i-1], id)
+			}
+		}
+	})
+}
+
 func TestChoose(t *testing.T) {
 	local := placer.WithLocal(true)
 	tests := map[string]struct {
--- a/scheduler/placer/territory.go
+++ b/scheduler/placer/territory.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"foxtaillug.org/scheduler"
 )
@@ -22,15 +23,34 @@
 // Territory is how the upstreams of one region are divided among hosts. It
 // never changes.
 type Territory struct {
-	hosts  []scheduler.HostID
-	groups int
+	hosts   []scheduler.HostID
+	leaving []scheduler.HostID
+	groups  int
+}
+
+// TerritoryOption sets a detail of a Territory.
+type TerritoryOption func(*Territory)
+
+// WithLeaving names hosts that are on their way out. They keep their shares,
+// to lend them, but own nothing as long as another guardian stays.
+func WithLeaving(ids []scheduler.HostID) TerritoryOption {
+	return func(t *Territory) { t.leaving = sorted(ids) }
 }
 
 // NewTerritory returns the division of a number of upstreams among hosts.
-func NewTerritory(hosts []scheduler.HostID, upstreams int) Territory {
-	sorted := slices.Clone(hosts)
-	slices.Sort(sorted)
-	return Territory{hosts: sorted, groups: groupCount(upstreams)}
+func NewTerritory(hosts []scheduler.HostID, upstreams int, opts ...TerritoryOption) Territory {
+	t := Territory{hosts: sorted(hosts), groups: groupCount(upstreams)}
+	for _, opt := range opts {
+		opt(&t)
+	}
+	return t
+}
+
+// sorted returns a sorted copy.
+func sorted(ids []scheduler.HostID) []scheduler.HostID {
+	c := slices.Clone(ids)
+	slices.Sort(c)
+	return c
 }
 
 // groupCount returns into how many groups upstreams fall; 0 means each is its
@@ -53,12 +73,20 @@
 	return "group/" + strconv.FormatUint(xxhash.Sum64String(string(upstream))%uint64(t.groups), 10)
 }
 
-// Guardians returns the hosts that share an upstream's slots, owner first.
+// Guardians returns the hosts that share an upstream's slots, owner first and
+// those on their way out last.
 func (t Territory) Guardians(upstream scheduler.UpstreamID) []scheduler.HostID {
-	return Rank(t.hosts, t.Group(upstream), MaxGuardians)
+	ids := Rank(t.hosts, t.Group(upstream), MaxGuardians)
+	if len(t.leaving) == 0 {
+		return ids
+	}
+	staying, leaving := lo.FilterReject(ids, func(id scheduler.HostID, _ int) bool {
+		return !slices.Contains(t.leaving, id)
+	})
+	return append(staying, leaving...)
 }
 
 // Equal reports whether two territories divide alike.
 func (t Territory) Equal(u Territory) bool {
-	return t.groups == u.groups && slices.Equal(t.hosts, u.hosts)
+	return t.groups == u.groups && slices.Equal(t.hosts, u.hosts) && slices.Equal(t.leaving, u.leaving)
 }
