requester, granter: sparse summaries and late ends tried and taken back; ports that do not clash

Tried: summaries only when a pool's load changed by an eighth or after a second; ends of requests wait up to 50 ms for company. Also: a daemon whose start failed hung in Stop (a trial hung for minutes after a clash of ports); porter gives each port out once, below the range of outgoing connections.

--- a/foxtaild/daemon/daemon.go
+++ b/foxtaild/daemon/daemon.go
@@ -54,6 +54,7 @@
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 	settled     chan struct{}
+	started     bool
 }
 
 // listeners are the sockets a daemon serves.
@@ -236,6 +237,7 @@
 		cancel()
 		stop()
 	}
+	d.started = true
 	d.wg.Go(func() { d.granter.Run(ctx) })
 	d.wg.Go(func() { d.watcher.Run(ctx) })
 	d.wg.Go(func() { d.gossiper.Run(ctx) })
@@ -325,8 +327,13 @@
 
 // Stop ends the daemon gracefully: it is no longer ready, takes no new work,
 // hands its shares over and waits until every accepted request has ended or
-// ctx is done. It returns how many requests were cut off.
+// ctx is done. It returns how many requests were cut off. A daemon that was not
+// started just ends.
 func (d *Daemon) Stop(ctx context.Context) (cut int64) {
+	if !d.started {
+		d.cancel()
+		return 0
+	}
 	d.log.Info("stopping", "inProgress", d.receiver.InProgress())
 	d.keeper.Stop()
 	d.granter.Stop()
--- a/foxtaild/daemon/daemon_test.go
+++ b/foxtaild/daemon/daemon_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"foxtaillug.org/contract"
 	"foxtaillug.org/contract/bundler"
+	"foxtaillug.org/standin/porter"
 )
 
 // patience bounds every wait of these tests.
@@ -81,12 +81,11 @@
 // free returns a free address on loopback.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := porter.Free(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addresses[0]
 }
 
 // await waits for something to become true.
@@ -191,6 +190,25 @@
 	}
 }
 
+// TestFailedStartCanBeStopped starts a host on a port that is taken.
+func TestFailedStartCanBeStopped(t *testing.T) {
+	first := settings(t, "h1", "127.0.0.1:1")
+	running := launch(t, first)
+	defer running.Stop(context.Background())
+	second := settings(t, "h2", "127.0.0.1:1")
+	second.Peers = first.Peers
+	d, err := New(second, WithLog(slog.New(slog.DiscardHandler)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Start(); err == nil {
+		t.Error("started on a port that is taken")
+	}
+	if cut := d.Stop(context.Background()); cut != 0 {
+		t.Errorf("%d requests cut off", cut)
+	}
+}
+
 func TestWrongSettingsAreOneClearLine(t *testing.T) {
 	tests := map[string]struct {
 		change func(s *Settings)
--- a/foxtaild/internal/granter/session.go
+++ b/foxtaild/internal/granter/session.go
@@ -19,13 +19,8 @@
 	// sessionRing bounds the answers that wait for one entry. An entry that
 	// does not take its answers is cut off.
 	sessionRing = 16384
-	// summaryEvery is how often it is looked whether an entry should hear how
-	// full pools are.
+	// summaryEvery is how often an entry hears how full pools are.
 	summaryEvery = 250 * time.Millisecond
-	// summaryFresh is how long an unchanged summary is not repeated.
-	summaryFresh = time.Second
-	// summarySteps is in how many steps the load of a pool is told.
-	summarySteps = 8
 )
 
 // errSuperseded says that the entry has opened another stream.
@@ -44,29 +39,7 @@
 	answers chan answer
 	echo    atomic.Uint64
 	over    chan struct{}
-	pools   map[scheduler.PoolID]*told
-}
-
-// told is what an entry was last told of a pool.
-type told struct {
-	asked time.Time
-	at    time.Time
-	level int
-}
-
-// level returns the load of a pool in steps; every queued ask is a step.
-func level(slots, running, queued int) int {
-	return running*summarySteps/max(slots, 1) + queued
-}
-
-// asked notes that the entry is interested in a pool.
-func (s *session) asked(pool scheduler.PoolID, now time.Time) {
-	t, ok := s.pools[pool]
-	if !ok {
-		t = &told{level: -1}
-		s.pools[pool] = t
-	}
-	t.asked = now
+	pools   map[scheduler.PoolID]bool
 }
 
 // answer passes grants and refusals to their entries. An entry that is gone
@@ -102,7 +75,7 @@
 		entry:   entry,
 		answers: make(chan answer, sessionRing),
 		over:    make(chan struct{}),
-		pools:   make(map[scheduler.PoolID]*told),
+		pools:   make(map[scheduler.PoolID]bool),
 	}
 	g.mu.Lock()
 	old := g.sessions[entry]
@@ -164,6 +137,7 @@
 func (g *Granter) send(ctx context.Context, s *session, stream *connect.BidiStream[peerv1.EntryFrame, peerv1.OwnerFrame], failed <-chan error) error {
 	tick := time.NewTicker(summaryEvery)
 	defer tick.Stop()
+	var told uint64
 	for {
 		frame := &peerv1.OwnerFrame{}
 		select {
@@ -177,11 +151,13 @@
 			frame.EchoUs = s.echo.Load()
 			g.collect(frame, s, a)
 		case <-tick.C:
-			frame.EchoUs = s.echo.Load()
-			if frame.Summaries = g.summaries(s); len(frame.Summaries) == 0 {
+			if s.echo.Load() == told {
 				continue
 			}
+			frame.EchoUs = s.echo.Load()
+			frame.Summaries = g.summaries(s)
 		}
+		told = frame.EchoUs
 		if err := stream.Send(frame); err != nil {
 			return err
 		}
@@ -215,17 +191,11 @@
 	}
 }
 
-// summaries returns how full the pools are that an entry has asked for lately,
-// where that has changed.
+// summaries returns how full the pools are that an entry has asked for.
 func (g *Granter) summaries(s *session) (all []*peerv1.Summary) {
-	g.call(func(a *arbiter.Arbiter, now time.Time) (o arbiter.Orders) {
-		for pool, t := range s.pools {
+	g.call(func(a *arbiter.Arbiter, _ time.Time) (o arbiter.Orders) {
+		for pool := range s.pools {
 			slots, running, queued := a.Summary(pool)
-			unchanged := level(slots, running, queued) == t.level && now.Sub(t.at) < summaryFresh
-			if unchanged || now.Sub(t.asked) > summaryFresh {
-				continue
-			}
-			t.level, t.at = level(slots, running, queued), now
 			all = append(all, &peerv1.Summary{Pool: string(pool), Slots: uint32(slots), Running: uint32(running), Queued: uint32(queued)})
 		}
 		return o
@@ -244,7 +214,7 @@
 			a.Withdraw(scheduler.NewRequestID(s.entry, id))
 		}
 		for _, ask := range f.Asks {
-			s.asked(scheduler.PoolID(ask.Pool), now)
+			s.pools[scheduler.PoolID(ask.Pool)] = true
 			o.Add(a.Ask(request(s.entry, ask, now), now))
 		}
 		return o
--- a/foxtaild/internal/requester/link.go
+++ b/foxtaild/internal/requester/link.go
@@ -21,10 +21,7 @@
 	// downFor is how long a failed stream is not tried again.
 	downFor = 300 * time.Millisecond
 	// summaryLife is how long an owner's summary counts.
-	summaryLife = 5 * time.Second
-	// finishPause is how long the ends of requests may wait for company when
-	// nobody waits for their slots.
-	finishPause = 50 * time.Millisecond
+	summaryLife = time.Second
 	// stoppingFor is how long a stopping owner is left alone.
 	stoppingFor = 3 * time.Second
 	// silence is how long an owner with waiting asks may be silent.
@@ -350,24 +347,8 @@
 	if l.open {
 		l.out.Finishes = append(l.out.Finishes, finish(id, ending, u))
 	}
-	urgent := ending != admitter.Complete || l.queued()
 	l.mu.Unlock()
-	if urgent {
-		l.signal()
-		return
-	}
-	time.AfterFunc(finishPause, l.signal)
-}
-
-// queued reports whether asks were waiting at the owner when it last told.
-// The caller holds mu.
-func (l *link) queued() bool {
-	for _, s := range l.summaries {
-		if s.queued > 0 {
-			return true
-		}
-	}
-	return false
+	l.signal()
 }
 
 // finish returns the message for how a request ended.
--- a/foxtaild/process_test.go
+++ b/foxtaild/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"foxtaillug.org/contract"
 	"foxtaillug.org/contract/bundler"
+	"foxtaillug.org/standin/porter"
 )
 
 // These tests run the built programs as separate processes and assert order
@@ -78,12 +78,11 @@
 // address returns a free address on loopback.
 func address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := porter.Free(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addresses[0]
 }
 
 // start starts the process, for the first time or again.
--- a/foxtailtry/world/world.go
+++ b/foxtailtry/world/world.go
@@ -20,6 +20,7 @@
 	"foxtaillug.org/foxtaild/daemon"
 	"foxtaillug.org/standin/engine"
 	"foxtaillug.org/standin/platform"
+	"foxtaillug.org/standin/porter"
 	"foxtaillug.org/standin/service"
 )
 
@@ -33,6 +34,8 @@
 	// defaults so that a trial starts soon.
 	listLag = 300 * time.Millisecond
 	loan    = time.Second
+	// portsPerHost are those for callers, peers and operators.
+	portsPerHost = 3
 	// cacheBlocks is the size of an engine's prefix cache.
 	cacheBlocks = 2048
 	// startTime bounds the start of all hosts.
@@ -196,7 +199,7 @@
 	}
 	regions := lo.SliceToMap(w.doc.Domains, func(d contract.Domain) (string, string) { return d.Name, d.Region })
 	for _, spec := range w.scenario.Hosts {
-		ports, err := freePorts(3)
+		ports, err := porter.Free(portsPerHost)
 		if err != nil {
 			return err
 		}
@@ -229,19 +232,6 @@
 	return h.daemon.Start()
 }
 
-// freePorts returns addresses on loopback that were free a moment ago.
-func freePorts(n int) (addresses []string, err error) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 // awaitReady waits until every host is ready and every upstream has a slot.
 func (w *World) awaitReady() error {
 	end := time.Now().Add(startTime)
