bundler, gossiper, placer: a change costs what has changed

Cause: at the target size (6,900 upstreams, 1,200 hosts) one configuration change cost a host 611 ms to divide the regions anew, about 70 ms to read all parts, and peers would be sent a manifest of 3 KB with a part of 200 items; at 0.35 changes a second that is a fifth of a core. Ruled out: the pools and leases themselves (a tick costs some microseconds). Change: territories remember ranks by group and are kept from change to change; parts hold about 16 items in buckets by name, so adding one item renews one part; peers send the parts and places that changed, and the receiver checks the digest of the manifest it makes of them; parts that were read are not read again. The round-trip test now compares upstreams in order of name, since their order in a document means nothing; the test that a small change renews one part is stricter: it covers adding and removing.

--- a/contract/bundler/bundler.go
+++ b/contract/bundler/bundler.go
@@ -12,7 +12,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/bits"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 
@@ -28,9 +30,8 @@
 	PartKeyPrefix = "foxtail/parts/"
 	// format is the version of the manifest's own form.
 	format = 1
-	// itemsPerPart keeps parts to some tens of KB, far below the platform's
-	// limit of a megabyte.
-	itemsPerPart = 200
+	// itemsPerPart keeps parts to a few KB, since a change renews whole parts.
+	itemsPerPart = 16
 )
 
 // ErrCorrupt says that a part's bytes are not what the manifest names.
@@ -48,6 +49,7 @@
 	manifest []byte
 	digests  []string
 	parts    map[string][]byte
+	read     map[string]contract.Document
 	version  versioner.Version
 }
 
@@ -99,15 +101,27 @@
 	rest := doc
 	rest.Version, rest.Upstreams, rest.Workspaces, rest.Drains = 0, nil, nil, contract.Drains{}
 	parts := []contract.Document{rest, {Drains: doc.Drains}}
-	for _, chunk := range lo.Chunk(doc.Upstreams, itemsPerPart) {
-		parts = append(parts, contract.Document{Upstreams: chunk})
+	for _, bucket := range buckets(doc.Upstreams, func(u contract.Upstream) string { return u.Name }) {
+		parts = append(parts, contract.Document{Upstreams: bucket})
 	}
-	for _, chunk := range lo.Chunk(doc.Workspaces, itemsPerPart) {
-		parts = append(parts, contract.Document{Workspaces: chunk})
+	for _, bucket := range buckets(doc.Workspaces, func(w contract.Workspace) string { return w.Name }) {
+		parts = append(parts, contract.Document{Workspaces: bucket})
 	}
 	return parts
 }
 
+// buckets divides items by their names, so that adding one renews one part
+// only. The number of buckets is a power of two, so that it changes rarely.
+func buckets[T any](items []T, name func(T) string) [][]T {
+	n := 1 << bits.Len(uint(len(items)/itemsPerPart))
+	all := make([][]T, n)
+	for _, item := range items {
+		i := xxhash.Sum64String(name(item)) % uint64(n)
+		all[i] = append(all[i], item)
+	}
+	return lo.Filter(all, func(b []T, _ int) bool { return len(b) > 0 })
+}
+
 // ReadManifest reads a manifest and returns the version it stands for.
 func ReadManifest(text []byte) (m Manifest, v versioner.Version, err error) {
 	if err := json.Unmarshal(text, &m); err != nil {
@@ -122,9 +136,36 @@
 	return m, versioner.NewVersion(m.Version, Digest(text)), nil
 }
 
+// Delta describes a manifest by another one: the parts that are in the first
+// and not in the second, each at its place.
+func Delta(m, base Manifest) map[int]string {
+	changes := make(map[int]string)
+	for i, digest := range m.Parts {
+		if i >= len(base.Parts) || base.Parts[i] != digest {
+			changes[i] = digest
+		}
+	}
+	return changes
+}
+
+// ApplyDelta makes the manifest of a version with n parts out of another one
+// and what has changed. The caller checks its digest.
+func ApplyDelta(base Manifest, version uint64, n int, changes map[int]string) (text []byte, err error) {
+	m := Manifest{Format: format, Version: version, Parts: make([]string, n)}
+	copy(m.Parts, base.Parts)
+	for i, digest := range changes {
+		if i < 0 || i >= n {
+			return nil, eris.Errorf("part %d of %d", i, n)
+		}
+		m.Parts[i] = digest
+	}
+	return json.Marshal(m)
+}
+
 // Open puts a bundle together and checks all of it: the digest of every part,
-// and the document they make.
-func Open(manifest []byte, part func(digest string) ([]byte, error)) (b *Bundle, dir *contract.Directory, err error) {
+// and the document they make. Parts that a former bundle has are taken from it
+// and not read again; former may be nil.
+func Open(manifest []byte, part func(digest string) ([]byte, error), former *Bundle) (b *Bundle, dir *contract.Directory, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrap(err, "open bundle")
@@ -134,20 +175,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	b = &Bundle{manifest: manifest, digests: m.Parts, parts: make(map[string][]byte), version: v}
+	b = &Bundle{manifest: manifest, digests: m.Parts, parts: make(map[string][]byte), read: make(map[string]contract.Document), version: v}
 	var doc contract.Document
 	for _, digest := range m.Parts {
-		text, err := part(digest)
-		if err != nil {
-			return nil, nil, err
-		}
-		if Digest(text) != digest {
-			return nil, nil, eris.Wrapf(ErrCorrupt, "part %s", digest)
-		}
-		b.parts[digest] = text
-		if err := merge(&doc, text); err != nil {
+		if err := b.take(digest, part, former); err != nil {
 			return nil, nil, err
 		}
+		merge(&doc, b.read[digest])
 	}
 	doc.Version = m.Version
 	if problems := parser.Check(doc); len(problems) > 0 {
@@ -157,18 +191,44 @@
 	return b, dir, err
 }
 
-// merge adds a part to a document.
-func merge(doc *contract.Document, text []byte) error {
-	upstreams, workspaces := doc.Upstreams, doc.Workspaces
-	doc.Upstreams, doc.Workspaces = nil, nil
-	if err := json.Unmarshal(text, doc); err != nil {
-		return eris.Wrap(err, "read part")
-	}
-	doc.Upstreams = append(upstreams, doc.Upstreams...)
-	doc.Workspaces = append(workspaces, doc.Workspaces...)
+// take takes a part from a former bundle, or reads and checks it.
+func (b *Bundle) take(digest string, part func(digest string) ([]byte, error), former *Bundle) error {
+	if former != nil {
+		if doc, ok := former.read[digest]; ok {
+			b.parts[digest], b.read[digest] = former.parts[digest], doc
+			return nil
+		}
+	}
+	text, err := part(digest)
+	if err != nil {
+		return err
+	}
+	if Digest(text) != digest {
+		return eris.Wrapf(ErrCorrupt, "part %s", digest)
+	}
+	var doc contract.Document
+	if err := json.Unmarshal(text, &doc); err != nil {
+		return eris.Wrap(ErrCorrupt, "part "+digest+": "+err.Error())
+	}
+	b.parts[digest], b.read[digest] = text, doc
 	return nil
 }
 
+// merge adds a part to a document.
+func merge(doc *contract.Document, part contract.Document) {
+	upstreams := append(doc.Upstreams, part.Upstreams...)
+	workspaces := append(doc.Workspaces, part.Workspaces...)
+	switch {
+	case len(part.Regions) > 0 || len(part.Tiers) > 0:
+		drains := doc.Drains
+		*doc = part
+		doc.Drains = drains
+	case len(part.Upstreams)+len(part.Workspaces) == 0:
+		doc.Drains = part.Drains
+	}
+	doc.Upstreams, doc.Workspaces = upstreams, workspaces
+}
+
 // Diff describes in words what a document changes, one line per change.
 func Diff(from, to contract.Document) []string {
 	var lines []string
--- a/contract/bundler/bundler_test.go
+++ b/contract/bundler/bundler_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -36,18 +38,83 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, dir, err := bundler.Open(b.Manifest(), func(d string) ([]byte, error) { return b.Part(d), nil })
+	got, dir, err := bundler.Open(b.Manifest(), func(d string) ([]byte, error) { return b.Part(d), nil }, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if got.Version() != b.Version() || got.Version().Number() != 7 {
 		t.Errorf("version %v became %v", b.Version(), got.Version())
 	}
-	if fmt.Sprint(dir.Document()) != fmt.Sprint(want.WithDefaults()) {
-		t.Errorf("the document changed:\n%+v\n%+v", dir.Document(), want)
+	opened := dir.Document()
+	slices.SortFunc(opened.Upstreams, byName)
+	slices.SortFunc(want.Upstreams, byName)
+	if fmt.Sprint(opened) != fmt.Sprint(want.WithDefaults()) {
+		t.Errorf("the document changed:\n%+v\n%+v", opened, want)
 	}
 }
 
+// byName orders upstreams, whose order in a document means nothing.
+func byName(a, b contract.Upstream) int { return strings.Compare(a.Name, b.Name) }
+
+// TestDeltaMakesTheManifest describes versions by others, larger and smaller.
+func TestDeltaMakesTheManifest(t *testing.T) {
+	sizes := []int{0, 1, 40, 450, 451, 900}
+	for _, from := range sizes {
+		for _, to := range sizes {
+			base, err := bundler.Encode(document(from))
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, err := bundler.Encode(document(to))
+			if err != nil {
+				t.Fatal(err)
+			}
+			mb, _, _ := bundler.ReadManifest(base.Manifest())
+			mw, _, _ := bundler.ReadManifest(want.Manifest())
+			got, err := bundler.ApplyDelta(mb, mw.Version, len(mw.Parts), bundler.Delta(mw, mb))
+			if err != nil || !bytes.Equal(got, want.Manifest()) {
+				t.Errorf("from %d to %d upstreams: %v", from, to, err)
+			}
+		}
+	}
+}
+
+func BenchmarkOpenTargetSize(b *testing.B) {
+	doc := document(6900)
+	for i := range 1999 {
+		doc.Workspaces = append(doc.Workspaces, contract.Workspace{Name: fmt.Sprint("w", i+1), Tier: "t"})
+	}
+	bundle, err := bundler.Encode(doc)
+	if err != nil {
+		b.Fatal(err)
+	}
+	part := func(d string) ([]byte, error) { return bundle.Part(d), nil }
+	b.Run("all", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, _, err := bundler.Open(bundle.Manifest(), part, nil); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	former, _, err := bundler.Open(bundle.Manifest(), part, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	doc.Workspaces[7].Concurrency = 5
+	if bundle, err = bundler.Encode(doc); err != nil {
+		b.Fatal(err)
+	}
+	b.Run("oneChange", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, _, err := bundler.Open(bundle.Manifest(), part, former); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
 func TestTornAndForgedBundlesAreRefusedWhole(t *testing.T) {
 	b, err := bundler.Encode(document(3))
 	if err != nil {
@@ -66,32 +133,43 @@
 	}
 	for name, x := range tests {
 		t.Run(name, func(t *testing.T) {
-			if _, _, err := bundler.Open(x.manifest, x.part); !eris.Is(err, x.want) {
+			if _, _, err := bundler.Open(x.manifest, x.part, nil); !eris.Is(err, x.want) {
 				t.Errorf("got %v, want %v", err, x.want)
 			}
 		})
 	}
 }
 
-func TestSmallChangeRenewsFewParts(t *testing.T) {
-	before, err := bundler.Encode(document(450))
-	if err != nil {
-		t.Fatal(err)
+func TestSmallChangeRenewsOnePart(t *testing.T) {
+	tests := map[string]func(d *contract.Document){
+		"drain":            func(d *contract.Document) { d.Drains = contract.Drains{} },
+		"workspace's tier": func(d *contract.Document) { d.Workspaces[0].Concurrency = 3 },
+		"upstream added":   func(d *contract.Document) { *d = document(451) },
+		"upstream removed": func(d *contract.Document) { d.Upstreams = d.Upstreams[1:] },
 	}
-	changed := document(450)
-	changed.Version, changed.Drains = 8, contract.Drains{}
-	after, err := bundler.Encode(changed)
+	before, err := bundler.Encode(document(450))
 	if err != nil {
 		t.Fatal(err)
 	}
-	renewed := 0
-	for _, d := range after.Digests() {
-		if before.Part(d) == nil {
-			renewed++
-		}
-	}
-	if renewed != 1 {
-		t.Errorf("a drain renews %d parts, want 1", renewed)
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			changed := document(450)
+			change(&changed)
+			changed.Version = 8
+			after, err := bundler.Encode(changed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			renewed := 0
+			for _, d := range after.Digests() {
+				if before.Part(d) == nil {
+					renewed++
+				}
+			}
+			if renewed != 1 {
+				t.Errorf("%d parts are renewed, want 1", renewed)
+			}
+		})
 	}
 }
 
--- a/foxtaild/internal/gossiper/gossiper.go
+++ b/foxtaild/internal/gossiper/gossiper.go
@@ -276,17 +276,21 @@
 	if err != nil {
 		return err
 	}
-	var have uint64
+	req := &peerv1.FetchRequest{Version: v.Number()}
 	old := g.keeper.State()
 	if old != nil {
-		have = old.Version().Number()
+		req.HaveVersion, req.HaveDigest = old.Version().Number(), old.Version().Digest()
 	}
-	reply, err := client.Fetch(ctx, &peerv1.FetchRequest{Version: v.Number(), HaveVersion: have})
+	reply, err := client.Fetch(ctx, req)
+	if err != nil {
+		return err
+	}
+	manifest, err := manifestOf(reply, old)
 	if err != nil {
 		return err
 	}
 	parts := lo.KeyBy(reply.Parts, bundler.Digest)
-	return g.keeper.Offer(reply.Manifest, func(digest string) ([]byte, error) {
+	return g.keeper.Offer(manifest, func(digest string) ([]byte, error) {
 		if p, ok := parts[digest]; ok {
 			return p, nil
 		}
@@ -297,22 +301,57 @@
 	})
 }
 
-// Fetch answers a peer with the newest bundle, less the parts of the one it
-// has.
+// manifestOf returns the manifest of an answer, made out of the one in force
+// where the answer tells only what has changed.
+func manifestOf(reply *peerv1.FetchReply, old *keeper.State) ([]byte, error) {
+	if len(reply.Manifest) > 0 || old == nil {
+		return reply.Manifest, nil
+	}
+	base, v, err := bundler.ReadManifest(old.Bundle().Manifest())
+	if err != nil || v.Number() != reply.BaseVersion {
+		return nil, eris.Errorf("changes since version %d, which is not in force", reply.BaseVersion)
+	}
+	changes := lo.MapEntries(reply.Changes, func(i uint32, digest string) (int, string) { return int(i), digest })
+	return bundler.ApplyDelta(base, reply.Version, int(reply.PartCount), changes)
+}
+
+// Fetch answers a peer with the newest bundle, or with what has changed since
+// the one it has.
 func (g *Gossiper) Fetch(_ context.Context, req *peerv1.FetchRequest) (*peerv1.FetchReply, error) {
 	s := g.keeper.State()
 	if s == nil {
 		return nil, connect.NewError(connect.CodeNotFound, eris.New("no configuration in force"))
 	}
+	have := versioner.NewVersion(req.HaveVersion, req.HaveDigest)
 	g.mu.Lock()
-	base, known := lo.Find(g.former, func(b *bundler.Bundle) bool { return b.Version().Number() == req.HaveVersion })
+	base, known := lo.Find(g.former, func(b *bundler.Bundle) bool { return b.Version() == have })
 	g.mu.Unlock()
-	reply := &peerv1.FetchReply{Manifest: s.Bundle().Manifest()}
-	for _, digest := range s.Bundle().Digests() {
-		if known && base.Part(digest) != nil {
-			continue
+	if !known {
+		parts := lo.Map(s.Bundle().Digests(), func(d string, _ int) []byte { return s.Bundle().Part(d) })
+		return &peerv1.FetchReply{Manifest: s.Bundle().Manifest(), Parts: parts}, nil
+	}
+	return changesSince(s.Bundle(), base)
+}
+
+// changesSince describes a bundle by a former one.
+func changesSince(b, base *bundler.Bundle) (reply *peerv1.FetchReply, err error) {
+	m, v, err := bundler.ReadManifest(b.Manifest())
+	if err != nil {
+		return nil, err
+	}
+	former, bv, err := bundler.ReadManifest(base.Manifest())
+	if err != nil {
+		return nil, err
+	}
+	reply = &peerv1.FetchReply{
+		Version: v.Number(), BaseVersion: bv.Number(), PartCount: uint32(len(m.Parts)),
+		Changes: make(map[uint32]string),
+	}
+	for i, digest := range bundler.Delta(m, former) {
+		reply.Changes[uint32(i)] = digest
+		if base.Part(digest) == nil {
+			reply.Parts = append(reply.Parts, b.Part(digest))
 		}
-		reply.Parts = append(reply.Parts, s.Bundle().Part(digest))
 	}
 	return reply, nil
 }
--- a/foxtaild/internal/keeper/keeper.go
+++ b/foxtaild/internal/keeper/keeper.go
@@ -114,7 +114,11 @@
 	if !k.Wants(v) {
 		return nil
 	}
-	bundle, dir, err := bundler.Open(manifest, part)
+	var former *bundler.Bundle
+	if old := k.State(); old != nil {
+		former = old.Bundle()
+	}
+	bundle, dir, err := bundler.Open(manifest, part, former)
 	if err != nil {
 		k.reject(v, err)
 		return err
--- a/foxtaild/internal/requester/requester.go
+++ b/foxtaild/internal/requester/requester.go
@@ -139,6 +139,9 @@
 	seq       atomic.Uint64
 	ctx       context.Context
 
+	// territories belongs to chart alone.
+	territories placer.Atlas
+
 	mu    sync.Mutex
 	links map[scheduler.HostID]*link
 }
@@ -147,7 +150,7 @@
 // numbered from a random start, so that an owner does not take the first ones
 // of a process for those of the one before.
 func New(ctx context.Context, k *keeper.Keeper, m *messenger.Messenger) *Requester {
-	r := &Requester{ctx: ctx, keeper: k, messenger: m, links: make(map[scheduler.HostID]*link)}
+	r := &Requester{ctx: ctx, keeper: k, messenger: m, links: make(map[scheduler.HostID]*link), territories: make(placer.Atlas)}
 	r.seq.Store(uint64(rand.Uint32()))
 	r.atlas.Store(&atlas{})
 	k.OnState(func(s *keeper.State) { r.chart(s, k.Hosts()) })
@@ -155,7 +158,8 @@
 	return r
 }
 
-// chart works out anew who may be asked for each pool.
+// chart works out anew who may be asked for each pool. The keeper calls it
+// for one change at a time.
 func (r *Requester) chart(s *keeper.State, hosts []scheduler.Host) {
 	if s == nil {
 		return
@@ -163,7 +167,7 @@
 	a := make(atlas)
 	byRegion := lo.GroupBy(s.Directory().Upstreams(), contract.Member.Region)
 	for region, members := range byRegion {
-		t := arbiter.Territory(hosts, region, len(members))
+		t := r.territories.Keep(region, arbiter.Territory(hosts, region, len(members)))
 		for _, m := range members {
 			pool := m.Pools()[0]
 			a[pool] = append(a[pool], guarded{
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -71,6 +71,7 @@
 	drains    *drainer.Drainer
 	suspects  *quarantiner.Quarantiner
 	hosts     []scheduler.Host
+	atlas     placer.Atlas
 	upstreams []Upstream
 	charges   map[scheduler.UpstreamID]*charge
 	order     []scheduler.UpstreamID
@@ -115,6 +116,7 @@
 		leases:   leaser.New(self.ID(), now, o.lease...),
 		drains:   drainer.New(),
 		suspects: quarantiner.New(),
+		atlas:    make(placer.Atlas),
 		charges:  make(map[scheduler.UpstreamID]*charge),
 		pools:    make(map[scheduler.PoolID]*poolState),
 		digests:  make(map[scheduler.RequestID]quarantiner.Digest),
@@ -168,13 +170,18 @@
 	return placer.NewTerritory(lo.Map(local, hostID), upstreams, placer.WithLeaving(lo.Map(leaving, hostID)))
 }
 
+// territory returns how the upstreams of a region are divided now.
+func (a *Arbiter) territory(region scheduler.RegionID, upstreams int) placer.Territory {
+	return a.atlas.Keep(region, Territory(a.hosts, region, upstreams))
+}
+
 // hostID returns a host's name.
 func hostID(h scheduler.Host, _ int) scheduler.HostID { return h.ID() }
 
 // divide works out which upstreams this host is a guardian of.
 func (a *Arbiter) divide(now time.Time) {
 	own := lo.Filter(a.upstreams, func(u Upstream, _ int) bool { return u.region == a.self.Region() })
-	a.leases.SetTerritory(Territory(a.hosts, a.self.Region(), len(own)), now)
+	a.leases.SetTerritory(a.territory(a.self.Region(), len(own)), now)
 	kept := make(map[scheduler.UpstreamID]bool)
 	for _, u := range own {
 		if slices.Contains(a.leases.Guardians(u.id), a.self.ID()) {
--- a/scheduler/arbiter/shuts.go
+++ b/scheduler/arbiter/shuts.go
@@ -22,7 +22,7 @@
 	byRegion := lo.GroupBy(a.upstreams, func(u Upstream) scheduler.RegionID { return u.region })
 	owners := make(map[scheduler.PoolID][]scheduler.HostID)
 	for region, upstreams := range byRegion {
-		t := Territory(a.hosts, region, len(upstreams))
+		t := a.territory(region, len(upstreams))
 		for _, u := range upstreams {
 			if g := t.Guardians(u.id); len(g) > 0 {
 				owners[u.pool] = append(owners[u.pool], g[0])
--- a/scheduler/leaser/leaser.go
+++ b/scheduler/leaser/leaser.go
@@ -112,7 +112,6 @@
 	started  time.Time
 	lists    []listing
 	holdings map[scheduler.UpstreamID]*holding
-	ranks    map[scheduler.UpstreamID][]scheduler.HostID
 }
 
 // Option sets a detail of a Leaser.
@@ -136,7 +135,6 @@
 		lag:      DefaultLag,
 		started:  now,
 		holdings: make(map[scheduler.UpstreamID]*holding),
-		ranks:    make(map[scheduler.UpstreamID][]scheduler.HostID),
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -162,7 +160,6 @@
 	}
 	l.lists = append(l.lists, listing{territory: t})
 	l.prune(now)
-	clear(l.ranks)
 }
 
 // prune forgets lists that were replaced longer ago than the settling time.
@@ -181,12 +178,7 @@
 	if len(l.lists) == 0 {
 		return nil
 	}
-	if ids, ok := l.ranks[upstream]; ok {
-		return ids
-	}
-	ids := l.lists[len(l.lists)-1].territory.Guardians(upstream)
-	l.ranks[upstream] = ids
-	return ids
+	return l.lists[len(l.lists)-1].territory.Guardians(upstream)
 }
 
 // ownShares returns this host's share on every list that still counts.
--- a/scheduler/placer/territory.go
+++ b/scheduler/placer/territory.go
@@ -20,12 +20,14 @@
 	groupSize = 6
 )
 
-// Territory is how the upstreams of one region are divided among hosts. It
-// never changes.
+// Territory is how the upstreams of one region are divided among hosts. What
+// it says never changes; it remembers what it has worked out, so it is not
+// safe for concurrent use.
 type Territory struct {
 	hosts   []scheduler.HostID
 	leaving []scheduler.HostID
 	groups  int
+	ranks   map[string][]scheduler.HostID
 }
 
 // TerritoryOption sets a detail of a Territory.
@@ -39,7 +41,7 @@
 
 // NewTerritory returns the division of a number of upstreams among hosts.
 func NewTerritory(hosts []scheduler.HostID, upstreams int, opts ...TerritoryOption) Territory {
-	t := Territory{hosts: sorted(hosts), groups: groupCount(upstreams)}
+	t := Territory{hosts: sorted(hosts), groups: groupCount(upstreams), ranks: make(map[string][]scheduler.HostID)}
 	for _, opt := range opts {
 		opt(&t)
 	}
@@ -76,7 +78,18 @@
 // Guardians returns the hosts that share an upstream's slots, owner first and
 // those on their way out last.
 func (t Territory) Guardians(upstream scheduler.UpstreamID) []scheduler.HostID {
-	ids := Rank(t.hosts, t.Group(upstream), MaxGuardians)
+	group := t.Group(upstream)
+	ids, ok := t.ranks[group]
+	if !ok {
+		ids = t.rank(group)
+		t.ranks[group] = ids
+	}
+	return ids
+}
+
+// rank works out the guardians of a group.
+func (t Territory) rank(group string) []scheduler.HostID {
+	ids := Rank(t.hosts, group, MaxGuardians)
 	if len(t.leaving) == 0 {
 		return ids
 	}
@@ -90,3 +103,16 @@
 func (t Territory) Equal(u Territory) bool {
 	return t.groups == u.groups && slices.Equal(t.hosts, u.hosts) && slices.Equal(t.leaving, u.leaving)
 }
+
+// Atlas keeps the territories of regions from one change to the next, so that
+// only what has changed is worked out anew.
+type Atlas map[scheduler.RegionID]Territory
+
+// Keep returns the territory of a region: the one kept, if it divides alike.
+func (a Atlas) Keep(region scheduler.RegionID, t Territory) Territory {
+	if old, ok := a[region]; ok && old.Equal(t) {
+		return old
+	}
+	a[region] = t
+	return t
+}
