dispatcher, receiver: answers without a body; faults of a handler

Cause: reading through the receiver as a newcomer: an answer of 204 or to HEAD has no body stream, and reading it would have ended the process; a fault in a handler did the same, and its request would never have counted as ended. Change: Exchange.Body and Whole; HEAD is told to the codec; a fault is answered as unknown, logged, and its request released.

--- a/foxtaild/internal/dispatcher/dispatcher.go
+++ b/foxtaild/internal/dispatcher/dispatcher.go
@@ -9,7 +9,9 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -81,6 +83,21 @@
 // Response returns the answer's head; its body is a stream.
 func (x *Exchange) Response() *fasthttp.Response { return x.resp }
 
+// Body returns the answer's body as it comes; it is empty for answers that
+// have none.
+func (x *Exchange) Body() io.Reader {
+	if body := x.resp.BodyStream(); body != nil {
+		return body
+	}
+	return http.NoBody
+}
+
+// Whole reports whether n bytes are the whole body by the answer's head.
+func (x *Exchange) Whole(n int) bool {
+	length := x.resp.Header.ContentLength()
+	return x.resp.BodyStream() == nil || length < 0 || length == n
+}
+
 // Cancel breaks the exchange off, which cancels the work upstream. It may be
 // called at any time and more than once.
 func (x *Exchange) Cancel() {
@@ -205,6 +222,7 @@
 	if err := c.w.Flush(); err != nil {
 		return err
 	}
+	x.resp.SkipBody = req.Header.IsHead()
 	if err := x.resp.Read(c.r); err != nil {
 		return err
 	}
--- a/foxtaild/internal/dispatcher/dispatcher_test.go
+++ b/foxtaild/internal/dispatcher/dispatcher_test.go
@@ -106,7 +106,10 @@
 
 // read reads an exchange's body to its end.
 func read(x *dispatcher.Exchange) (string, error) {
-	body, err := io.ReadAll(x.Response().BodyStream())
+	body, err := io.ReadAll(x.Body())
+	if err == nil && !x.Whole(len(body)) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err == nil {
 		x.Finish()
 	} else {
@@ -128,6 +131,7 @@
 		"no identity returned":  {answer: func(_ int, id string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" }, want: [2]string{"ok", "ok"}, dials: 1},
 		"answer to another":     {answer: func(n int, id string) string { return whole(map[bool]string{true: "x", false: id}[n == 1], "for "+id) }, want: [2]string{"error", "for b"}, dials: 2},
 		"a second, late answer": {answer: func(_ int, id string) string { return whole(id, "for "+id) + whole("x", "late") }, want: [2]string{"for a", "for b"}, dials: 2},
+		"no content":            {answer: func(int, string) string { return "HTTP/1.1 204 No Content\r\n\r\n" }, want: [2]string{"", ""}, dials: 1},
 		"cut before the head": {answer: func(n int, id string) string {
 			return map[bool]string{true: "CUT", false: whole(id, "for "+id)}[n == 1]
 		}, want: [2]string{"error", "for b"}, dials: 2},
@@ -208,6 +212,25 @@
 	}
 }
 
+// TestHeadHasNoBody sends HEAD, whose answer tells a length and has no body.
+func TestHeadHasNoBody(t *testing.T) {
+	w := newWire(t, func(int, string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" })
+	d := dispatcher.New()
+	defer d.Close()
+	for range 2 {
+		req := &fasthttp.Request{}
+		req.Header.SetMethod("HEAD")
+		req.Header.SetHost(w.address())
+		x, err := d.Send(w.address(), req, time.Now().Add(time.Second), time.Now().Add(5*time.Second), func() bool { return true }, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := read(x); err != nil || body != "" {
+			t.Errorf("got %q, %v", body, err)
+		}
+	}
+}
+
 func TestCancelBreaksTheExchangeOff(t *testing.T) {
 	w := newWire(t, func(int, string) string {
 		time.Sleep(time.Minute)
--- a/foxtaild/internal/receiver/completion.go
+++ b/foxtaild/internal/receiver/completion.go
@@ -168,14 +168,14 @@
 
 // readAll reads an answer's body to its end.
 func readAll(u *run) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(u.x.Response().BodyStream(), maxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(u.x.Body(), maxAnswer+1))
 	if err != nil {
 		return body, err
 	}
 	if len(body) > maxAnswer {
 		return body, eris.New("answer too large")
 	}
-	if n := u.x.Response().Header.ContentLength(); n >= 0 && n != len(body) {
+	if !u.x.Whole(len(body)) {
 		return body, io.ErrUnexpectedEOF
 	}
 	return body, nil
@@ -238,7 +238,7 @@
 // relay copies a stream to the caller until it ends. A stream that ends
 // without its last event is closed with an error event, never as whole.
 func (r *Receiver) relay(k *call, u *run, out *bufio.Writer) {
-	in := bufio.NewReaderSize(u.x.Response().BodyStream(), lineBytes)
+	in := bufio.NewReaderSize(u.x.Body(), lineBytes)
 	tokens, done, err := copyEvents(in, out, func() {
 		u.first = time.Now()
 		r.reporter.FirstToken(k.standing.TierName(), u.first.Sub(k.arrived))
--- a/foxtaild/internal/receiver/outcome.go
+++ b/foxtaild/internal/receiver/outcome.go
@@ -60,6 +60,7 @@
 	reasonCallerGone       = "callerGone"
 	reasonNotDispatched    = "notDispatched"
 	reasonTimeout          = "timeout"
+	reasonInternal         = "internal"
 	reasonNotFound         = "notFound"
 	reasonMethodNotAllowed = "methodNotAllowed"
 )
--- a/foxtaild/internal/receiver/receiver.go
+++ b/foxtaild/internal/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	recoverer "github.com/gofiber/fiber/v3/middleware/recover"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -111,6 +112,7 @@
 		ErrorHandler:      r.handleError,
 		StreamRequestBody: false,
 	})
+	r.app.Use(recoverer.New())
 	r.app.Get("/v1/models", r.authorized(r.serveModels))
 	r.app.Post("/v1/chat/completions", r.authorized(r.serveCompletion))
 	r.app.Post("/v1/completions", r.authorized(r.serveCompletion))
@@ -155,9 +157,11 @@
 func (r *Receiver) handleError(c fiber.Ctx, err error) error {
 	f := notRun(fiber.StatusBadRequest, reasonMalformed, "The request could not be read.")
 	var fe *fiber.Error
-	if eris.As(err, &fe) {
-		f.status = fe.Code
+	if !eris.As(err, &fe) {
+		r.log.Error("request handler failed", "error", err.Error())
+		return r.write(c, r.newID(), refusal{status: fiber.StatusInternalServerError, outcome: Unknown, reason: reasonInternal})
 	}
+	f.status = fe.Code
 	switch f.status {
 	case fiber.StatusNotFound:
 		f.reason, f.detail = reasonNotFound, "There is nothing at this path."
@@ -209,7 +213,14 @@
 			f.retryAfter = time.Second
 			return r.write(c, id, f)
 		}
-		return next(c, r.accept(c, id, s.Directory(), standing))
+		k := r.accept(c, id, s.Directory(), standing)
+		defer func() {
+			if fault := recover(); fault != nil {
+				k.release()
+				panic(fault)
+			}
+		}()
+		return next(c, k)
 	}
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,5 +16,7 @@
 go vet "${packages[@]}"
 echo "staticcheck"
 go tool staticcheck "${packages[@]}"
+echo "links"
+./scripts/links.sh
 echo "tests"
 ./scripts/known-red.sh "${packages[@]}"
