admitter, shedder: lower tiers are shut only for the sake of a refusal

Two reasons: pressure at the lowest tier itself shut it at every owner, although nothing lies below it; and a tier counted as under pressure after a quarter of its time, when strict queues had it served anyway. Ruled out: limits and ramps (reasons of the refusals were all 'shed'), and time lost between slots. Change: the lowest tier asks nobody; a tier presses half a second before an ask must be given up. More was then granted close to its deadline and cut off, so deadlines reckon with two quantiles of a workspace's output lengths: an upstream that would finish 98 of 100 goes first, and an ask that the free one would not finish in 80 of 100 is given up.

--- a/scheduler/admitter/admitter.go
+++ b/scheduler/admitter/admitter.go
@@ -12,9 +12,9 @@
 	DefaultQueue = 100_000
 	// GrantLife is how long a grant may wait to be used.
 	GrantLife = time.Second
-	// pressShare is the part of an ask's time that may pass in the queue
-	// before its tier counts as under pressure.
-	pressShare = 4
+	// pressLead is how long before an ask must be given up its tier counts as
+	// under pressure; the lower tiers are shut all over the pool within it.
+	pressLead = 500 * time.Millisecond
 	// shedRetry is the least time after which a shed caller is asked back.
 	shedRetry = time.Second
 	// finishGrace is how long after its deadline the end of a granted
@@ -88,7 +88,7 @@
 func (p *Pool) Ask(a Ask, now time.Time) (o Orders) {
 	a.arrived = now
 	a.tier = p.clamp(a.tier)
-	a.output = p.length(a.workspace).expect(a.output)
+	a.output, a.likely = p.length(a.workspace).expect(a.output)
 	if reason := p.refusal(a, now); reason != Granted {
 		o.refusals = append(o.refusals, Refusal{id: a.id, reason: reason, retryAfter: p.retryAfter(a.tier, now)})
 		return o
@@ -177,8 +177,10 @@
 	}
 }
 
-// fillTier grants slots to one tier. It reports whether the tier has nothing
-// left that waits for a slot.
+// fillTier grants slots to one tier. An ask that the free upstream would most
+// likely not finish in time is given up: waiting for a faster one would leave
+// the slot idle, and its prefill would be wasted. It reports whether the tier
+// has nothing left that waits for a slot.
 func (p *Pool) fillTier(tier scheduler.Tier, now time.Time, o *Orders) bool {
 	q := p.tiers[tier]
 	for w := q.next(); w != nil; w = q.next() {
@@ -190,19 +192,24 @@
 		if u == nil {
 			return false
 		}
+		if !u.inTime(w.ask, w.ask.likely, now) {
+			p.refuse(w, Late, now, o)
+			continue
+		}
 		p.grant(w, u, now, o)
 	}
 	return true
 }
 
-// pick returns the upstream for an ask, or nil when none has a slot.
+// pick returns the upstream for an ask, or nil when none has a slot. One that
+// would finish all but the longest such asks in time goes first.
 func (p *Pool) pick(a Ask, now time.Time) *upstream {
 	var best *upstream
 	for _, u := range p.order {
 		if !u.takes(a, now) {
 			continue
 		}
-		if best == nil || u.better(best, a) {
+		if best == nil || u.better(best, a, now) {
 			best = u
 		}
 	}
--- a/scheduler/admitter/pressure.go
+++ b/scheduler/admitter/pressure.go
@@ -11,7 +11,7 @@
 func (p *Pool) tooSlow(a Ask, now time.Time) bool {
 	left := a.deadline.Sub(now)
 	for _, u := range p.order {
-		if !u.closed && u.estimate(a) <= left {
+		if !u.closed && u.estimate(a.likely) <= left {
 			return false
 		}
 	}
@@ -132,11 +132,12 @@
 	}
 }
 
-// pressTier looks at the oldest ask of a tier, and refuses from the newest
-// end what will not get its turn.
+// pressTier looks at the oldest ask of a tier: shortly before it must be given
+// up, the lower tiers are shut. It refuses from the newest end what will not
+// get its turn.
 func (p *Pool) pressTier(tier scheduler.Tier, now time.Time, o *Orders) {
 	q := p.tiers[tier]
-	if w := q.oldest(); w != nil && q.waited(now) > w.ask.deadline.Sub(w.ask.arrived)/pressShare {
+	if w := q.oldest(); w != nil && p.tooSlow(w.ask, now.Add(pressLead)) {
 		p.gate.Press(tier, now)
 	}
 	for w := q.newest(); w != nil && w.hopeless; w = q.newest() {
--- a/scheduler/admitter/queue.go
+++ b/scheduler/admitter/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"time"
 
 	"foxtaillug.org/scheduler"
 	"foxtaillug.org/scheduler/internal/pq"
@@ -124,11 +123,3 @@
 
 // length returns how many asks wait.
 func (q *tierQueue) length() int { return q.arrivals.Len() }
-
-// waited returns how long the oldest ask has waited.
-func (q *tierQueue) waited(now time.Time) time.Duration {
-	if w := q.oldest(); w != nil {
-		return now.Sub(w.ask.arrived)
-	}
-	return 0
-}
--- a/scheduler/admitter/types.go
+++ b/scheduler/admitter/types.go
@@ -53,6 +53,7 @@
 	tier      scheduler.Tier
 	prompt    int
 	output    int
+	likely    int
 	prefix    uint64
 	suspect   bool
 	arrived   time.Time
--- a/scheduler/admitter/upstream.go
+++ b/scheduler/admitter/upstream.go
@@ -57,9 +57,16 @@
 	return u.free(now) > 0 && !(a.suspect && u.suspects > 0)
 }
 
-// estimate returns how long the upstream will take for an ask.
-func (u *upstream) estimate(a Ask) time.Duration {
-	return u.first + time.Duration(a.output)*u.perToken
+// estimate returns how long the upstream will take for an output of some
+// tokens.
+func (u *upstream) estimate(tokens int) time.Duration {
+	return u.first + time.Duration(tokens)*u.perToken
+}
+
+// inTime reports whether an ask that starts now would end before its deadline
+// with an output of some tokens.
+func (u *upstream) inTime(a Ask, tokens int, now time.Time) bool {
+	return !now.Add(u.estimate(tokens)).After(a.deadline)
 }
 
 // cached reports whether the upstream has lately seen a prompt prefix.
@@ -106,10 +113,13 @@
 	return average + time.Duration(smoothing*float64(sample-average))
 }
 
-// better reports whether u is to be preferred to v for an ask: with the
-// prompt cached, then by the time per token that one more request leaves,
+// better reports whether u is to be preferred to v for an ask: in time, with
+// the prompt cached, then by the time per token that one more request leaves,
 // then by the share of slots in use.
-func (u *upstream) better(v *upstream, a Ask) bool {
+func (u *upstream) better(v *upstream, a Ask, now time.Time) bool {
+	if fu, fv := u.inTime(a, a.output, now), v.inTime(a, a.output, now); fu != fv {
+		return fu
+	}
 	if cu, cv := u.cached(a.prefix), v.cached(a.prefix); cu != cv {
 		return cu
 	}
--- a/scheduler/shedder/shedder.go
+++ b/scheduler/shedder/shedder.go
@@ -83,8 +83,8 @@
 	l.peers = peers
 }
 
-// Press notes that this owner cannot serve a tier in time. The lowest tier is
-// shut at once; for another one the tiers below are asked for first.
+// Press notes that this owner cannot serve a tier in time. The lowest tier may
+// be refused as it is; for another one the tiers below must be shut first.
 func (l *Ladder) Press(tier scheduler.Tier, now time.Time) {
 	if int(tier) < l.tiers {
 		l.want[tier] = now.Add(l.hold)
@@ -111,7 +111,7 @@
 	}
 	lowest := scheduler.Tier(l.tiers - 1)
 	if top >= lowest {
-		return lowest, l.hold, true
+		return 0, 0, false
 	}
 	from = lowest
 	for from > top+1 && l.promised(from, now) {
