--- a/scheduler/arbiter/arbiter_test.go
+++ b/scheduler/arbiter/arbiter_test.go
@@ -9,6 +9,7 @@
 
 	"foxtaillug.org/scheduler"
 	"foxtaillug.org/scheduler/admitter"
+	"foxtaillug.org/scheduler/arbiter"
 	"foxtaillug.org/scheduler/internal/rapidseed"
 	"foxtaillug.org/scheduler/quarantiner"
 )
@@ -239,3 +240,34 @@
 		t.Error("nothing was refused, so nothing was asked after the pause")
 	}
 }
+
+// TestTakeoverCountsWorkOfTheFormerOwner kills the owner of a cold upstream
+// while requests it granted still run there; the next owner has to leave room
+// for them.
+func TestTakeoverCountsWorkOfTheFormerOwner(t *testing.T) {
+	f := newFleet(1, 3, 1, 2, 8)
+	f.run(8 * time.Second)
+	b := f.backends[0]
+	guardians := arbiter.Territory(f.truth(), region, 1).Guardians(b.id)
+	owner, entry := f.node(guardians[0]), f.node(guardians[1])
+	for range 2 {
+		f.issue(entry, 0, 25*time.Second, 30*time.Second, 0)
+	}
+	f.run(time.Second)
+	if len(b.running) != 2 {
+		t.Fatalf("%d requests run before the owner dies, want 2", len(b.running))
+	}
+	f.kill(owner)
+	f.run(5 * time.Second)
+	for range 10 {
+		f.issue(entry, 0, 100*time.Millisecond, 60*time.Second, 0)
+	}
+	f.run(10 * time.Second)
+	if len(f.violations) > 0 {
+		t.Errorf("%d violations, the first: %s", len(f.violations), f.violations[0])
+	}
+	f.run(40 * time.Second)
+	if f.completed[0] != 12 {
+		t.Errorf("%d of 12 completed in the end, refusals %v", f.completed[0], f.refusals)
+	}
+}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -15,7 +15,7 @@
 		bad=1
 		continue
 	fi
-	if (cd "$work/scheduler" && GOWORK=off go test -count=1 -timeout 60s -run "^$test\$" "./$package" >"$work/out" 2>&1); then
+	if (cd "$work/scheduler" && GOWORK=off go test -count=1 -timeout 60s -run "^$test\$" "./$package" -rapid.shrinktime=1s >"$work/out" 2>&1); then
 		echo "GREEN  $name: $test does not notice"
 		bad=1
 	elif grep -q "build failed" "$work/out"; then
