arbiter, admitter, requester: asks do not wait where nothing is open

Cause: while a failure domain was out, asks waited for its whole absence at owners whose only open upstreams were lent to others, and entries still asked the owners of upstreams that had been taken out; the logs showed bookings of 5 to 6 s that all ended the moment the domain came back. Ruled out: a want of capacity (calls of the booking service use few slots). Change: entries ask only for upstreams in service; a pool without an open upstream ends its waiting asks at once, and a guardian that has lent everything sends asks on as 'not owner'. An ask that the free upstream would likely not finish is given up only when others wait behind it.

--- a/foxtaild/internal/requester/requester.go
+++ b/foxtaild/internal/requester/requester.go
@@ -15,11 +15,13 @@
 	"github.com/samber/lo"
 
 	"foxtaillug.org/contract"
+	"foxtaillug.org/foxtaild/internal/granter"
 	"foxtaillug.org/foxtaild/internal/keeper"
 	"foxtaillug.org/foxtaild/internal/messenger"
 	"foxtaillug.org/scheduler"
 	"foxtaillug.org/scheduler/admitter"
 	"foxtaillug.org/scheduler/arbiter"
+	"foxtaillug.org/scheduler/drainer"
 	"foxtaillug.org/scheduler/placer"
 )
 
@@ -165,10 +167,15 @@
 		return
 	}
 	a := make(atlas)
+	drains := drainer.New()
+	drains.SetDrains(granter.Drains(s.Directory()))
 	byRegion := lo.GroupBy(s.Directory().Upstreams(), contract.Member.Region)
 	for region, members := range byRegion {
 		t := r.territories.Keep(region, arbiter.Territory(hosts, region, len(members)))
 		for _, m := range members {
+			if drains.Upstream(m.ID(), m.Domain()) != drainer.Open {
+				continue
+			}
 			pool := m.Pools()[0]
 			a[pool] = append(a[pool], guarded{
 				guardians: t.Guardians(m.ID()),
@@ -186,6 +193,9 @@
 func (r *Requester) Acquire(ctx context.Context, d Demand) (slot *Slot, err error) {
 	ctx, cancel := context.WithDeadline(ctx, d.deadline)
 	defer cancel()
+	if len((*r.atlas.Load())[d.pool]) == 0 {
+		return nil, &RefusedError{reason: admitter.Closed}
+	}
 	tried := make(map[scheduler.HostID]*RefusedError)
 	for ctx.Err() == nil {
 		id, ok := r.choose(d, tried)
--- a/scheduler/admitter/admitter.go
+++ b/scheduler/admitter/admitter.go
@@ -178,8 +178,10 @@
 }
 
 // fillTier grants slots to one tier. An ask that the free upstream would most
-// likely not finish in time is given up: waiting for a faster one would leave
-// the slot idle, and its prefill would be wasted. It reports whether the tier
+// likely not finish in time is given up when others wait behind it: waiting for
+// a faster one would leave the slot idle, and its prefill would be wasted. With
+// nobody behind, the slot would be idle anyway, and the ask may be lucky. It
+// reports whether the tier
 // has nothing left that waits for a slot.
 func (p *Pool) fillTier(tier scheduler.Tier, now time.Time, o *Orders) bool {
 	q := p.tiers[tier]
@@ -192,7 +194,7 @@
 		if u == nil {
 			return false
 		}
-		if !u.inTime(w.ask, w.ask.likely, now) {
+		if q.length() > 1 && !u.inTime(w.ask, w.ask.likely, now) {
 			p.refuse(w, Late, now, o)
 			continue
 		}
@@ -290,18 +292,33 @@
 // Stop refuses everything that waits and all that comes.
 func (p *Pool) Stop(now time.Time) (o Orders) {
 	p.stopping = true
+	p.refuseAll(Stopping, now, &o)
+	return o
+}
+
+// Yield ends all waiting asks because other hosts have the slots.
+func (p *Pool) Yield(now time.Time) (o Orders) {
+	p.refuseAll(NotOwner, now, &o)
+	return o
+}
+
+// refuseAll ends all waiting asks, so that their entries can ask elsewhere.
+func (p *Pool) refuseAll(reason Reason, now time.Time, o *Orders) {
 	for _, q := range p.tiers {
 		for w := q.oldest(); w != nil; w = q.oldest() {
-			p.refuse(w, Stopping, now, &o)
+			p.refuse(w, reason, now, o)
 		}
 	}
-	return o
 }
 
 // Tick ends asks whose time has come and looks for tiers under pressure. It
 // is to be called some ten times a second.
 func (p *Pool) Tick(now time.Time) (o Orders) {
 	p.sweep(now)
+	if !p.open() {
+		p.refuseAll(Closed, now, &o)
+		return o
+	}
 	p.expire(now, &o)
 	p.fill(now, &o)
 	p.shutTiers(now, &o)
--- a/scheduler/admitter/admitter_test.go
+++ b/scheduler/admitter/admitter_test.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// TestWaitingAsksMoveOnWhenThePoolCloses takes the only upstream out while asks
+// wait; they are told at once and not at their deadline.
+func TestWaitingAsksMoveOnWhenThePoolCloses(t *testing.T) {
+	b := newBench(1)
+	_, _ = b.ask("w", 0, time.Minute)
+	_, _ = b.ask("w", 0, time.Minute)
+	_, _ = b.ask("w", 1, time.Minute)
+	b.pool.SetClosed("u", true)
+	o := b.pool.Tick(b.now)
+	if len(o.Refusals()) != 2 || o.Refusals()[0].Reason() != admitter.Closed {
+		t.Errorf("got %v, want two refusals because nothing is open", o.Refusals())
+	}
+}
+
 // TestEveryAskEndsOnce lets random asks, ends, withdrawals and changes of
 // slots come; every ask is answered at most once, in-flight work never exceeds
 // the slots by new grants, and nothing of a lower tier is granted while a
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -253,7 +253,7 @@
 func (a *Arbiter) Ask(r Request, now time.Time) (o Orders) {
 	a.wake(now, &o)
 	p, ok := a.pools[r.pool]
-	if !ok {
+	if !ok || a.yields(r.pool, now) {
 		o.refusals = append(o.refusals, admitter.NewRefusal(r.ask.ID(), admitter.NotOwner, 0))
 		return o
 	}
@@ -270,6 +270,23 @@
 	return o
 }
 
+// yields reports whether every upstream of a pool that takes new work is lent
+// to another guardian, so that asks wait here in vain.
+func (a *Arbiter) yields(id scheduler.PoolID, now time.Time) bool {
+	lent := false
+	for _, upstream := range a.order {
+		c := a.charges[upstream]
+		if c.spec.pool != id || a.drains.Upstream(upstream, c.spec.domain) != drainer.Open {
+			continue
+		}
+		if !a.leases.Lent(upstream, now) {
+			return false
+		}
+		lent = true
+	}
+	return lent
+}
+
 // take adds a pool's orders and forgets the digests of refused asks.
 func (a *Arbiter) take(p admitter.Orders, o *Orders) {
 	for _, r := range p.Refusals() {
@@ -343,6 +360,9 @@
 	a.resize(now, &o)
 	for _, id := range a.Pools() {
 		p := a.pools[id]
+		if a.yields(id, now) {
+			a.take(p.pool.Yield(now), &o)
+		}
 		a.take(p.pool.Tick(now), &o)
 		a.requestShut(p, now, &o)
 	}
--- a/scheduler/arbiter/arbiter_test.go
+++ b/scheduler/arbiter/arbiter_test.go
@@ -271,3 +271,17 @@
 		t.Errorf("%d of 12 completed in the end, refusals %v", f.completed[0], f.refusals)
 	}
 }
+
+// TestGuardianThatLentEverythingSendsAsksOn asks a guardian whose share is
+// lent; the ask must not wait there for slots that others have.
+func TestGuardianThatLentEverythingSendsAsksOn(t *testing.T) {
+	f := newFleet(1, 3, 1, 2, 8)
+	f.run(10 * time.Second)
+	guardians := arbiter.Territory(f.truth(), region, 1).Guardians(f.backends[0].id)
+	second := f.node(guardians[1])
+	ask := admitter.NewAsk(scheduler.NewRequestID(guardians[0], 1), "w", 0, f.now.Add(time.Minute))
+	o := second.arbiter.Ask(arbiter.NewRequest(pool, ask, 0), f.now)
+	if len(o.Refusals()) != 1 || o.Refusals()[0].Reason() != admitter.NotOwner {
+		t.Errorf("got %v, want that it is not the owner", o.Refusals())
+	}
+}
