--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -222,33 +222,6 @@
 	return p
 }
 
-// wake notices that this process was paused. It then grants nothing until
-// its configuration is confirmed, and nothing on an upstream before its next
-// load report: either may have been taken out of service meanwhile.
-func (a *Arbiter) wake(now time.Time, o *Orders) {
-	gap := now.Sub(a.seen)
-	a.seen = now
-	if gap < wakeGap {
-		return
-	}
-	a.doubting = true
-	a.woke = now
-	o.confirm = true
-	a.resize(now, o)
-}
-
-// Confirm takes note that peers and the platform were asked for a newer
-// configuration since this process woke up.
-func (a *Arbiter) Confirm(now time.Time) (o Orders) {
-	a.wake(now, &o)
-	if o.confirm {
-		return o
-	}
-	a.doubting = false
-	a.resize(now, &o)
-	return o
-}
-
 // Ask takes a request for a slot.
 func (a *Arbiter) Ask(r Request, now time.Time) (o Orders) {
 	a.wake(now, &o)
