arbiter: a directed test for old load reports after a pause

Cause: the mutation 'a woken host trusts old load reports' stayed green: in the test world a paused host caught up on every tick it had slept through, so a fresh report always came before the confirmation.

--- a/scheduler/arbiter/arbiter_test.go
+++ b/scheduler/arbiter/arbiter_test.go
@@ -285,3 +285,22 @@
 		t.Errorf("got %v, want that it is not the owner", o.Refusals())
 	}
 }
+
+// TestWokenHostWaitsForAYoungerLoadReport pauses the only host while its
+// upstream says in load reports that it is leaving.
+func TestWokenHostWaitsForAYoungerLoadReport(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(seed, 1, 1, 2, 8)
+		f.run(8 * time.Second)
+		n, b := f.nodes[0], f.backends[0]
+		n.paused = f.now.Add(5 * time.Second)
+		for i := range 50 {
+			f.after(time.Duration(i)*100*time.Millisecond, func() { f.issue(n, 0, 100*time.Millisecond, 20*time.Second, 0) })
+		}
+		f.after(100*time.Millisecond, func() { b.drained, b.leaving = f.now, f.now })
+		f.run(20 * time.Second)
+		if len(f.violations) > 0 {
+			t.Errorf("seed %d: %d violations, the first: %s", seed, len(f.violations), f.violations[0])
+		}
+	}
+}
--- a/scheduler/arbiter/fleet_test.go
+++ b/scheduler/arbiter/fleet_test.go
@@ -268,15 +268,18 @@
 	f.repeat(n, lookEvery, func() { f.look(n) })
 }
 
-// repeat runs something on a host until it dies.
+// repeat runs something on a host until it dies. What falls due during a pause
+// runs once when the host wakes up, as a ticker does.
 func (f *fleet) repeat(n *node, d time.Duration, do func()) {
 	incarnation := n.incarnation
 	f.after(d, func() {
 		if n.dead || n.incarnation != incarnation {
 			return
 		}
-		f.on(n, do)
-		f.repeat(n, d, do)
+		f.on(n, func() {
+			do()
+			f.repeat(n, d, do)
+		})
 	})
 }
 
--- a/scheduler/booker/booker_test.go
+++ b/scheduler/booker/booker_test.go
@@ -73,7 +73,6 @@
 // use is one use of a ticket in a history.
 type use struct {
 	ticket string
-	call   uint64
 }
 
 // seen is what came of a use: whether it ran, or the answer given.
