foxtailtry: the example that runs without arguments

Cause: README's first command failed in a fresh clone: kong does not give a default to the argument of a default command.

--- a/foxtailtry/main.go
+++ b/foxtailtry/main.go
@@ -24,6 +24,9 @@
 	"foxtaillug.org/standin/engine"
 )
 
+// defaultExample is what runs when no directory is given.
+const defaultExample = "examples/benjelloun"
+
 // ownPolicy is the name of this project's own way.
 const ownPolicy = "foxtaillug"
 
@@ -45,7 +48,7 @@
 
 // runCmd runs an example under load.
 type runCmd struct {
-	Example  string        `arg:"" optional:"" help:"Directory with config.yaml and scenario.yaml." default:"examples/benjelloun" type:"existingdir"`
+	Example  string        `arg:"" optional:"" help:"Directory with config.yaml and scenario.yaml; examples/benjelloun if none is given." type:"existingdir"`
 	Duration time.Duration `help:"Length of the load." default:"20s"`
 	Load     float64       `help:"Load, as a multiple of the scenario's." default:"1"`
 	Seed     uint64        `help:"Seed of the load." default:"1"`
@@ -93,6 +96,9 @@
 
 // trial runs the trial.
 func (c runCmd) trial() (r tallier.Report, err error) {
+	if c.Example == "" {
+		c.Example = defaultExample
+	}
 	path := filepath.Join(c.Example, "config.yaml")
 	text, err := os.ReadFile(path)
 	if err != nil {
