--- /dev/null
+++ b/foxtaild/forwarder/forwarder.go
@@ -0,0 +1,223 @@
+// Package forwarder carries a request to an upstream and its answer back.
+//
+// It is the one request path of the product: every front makes a Request and
+// hands in a Reply. The forwarder asks a coordinator for an upstream, sends
+// the request there, and decides what an answer, or the lack of one, means:
+//
+//   - an upstream that has not run the request may be followed by another one;
+//   - one that may have run it is followed by another only where the route
+//     allows a request to run twice;
+//   - a stream that breaks goes on at another upstream where the route says
+//     that it may be resumed, after the last event that was passed on whole;
+//   - everything else ends with an honest refusal, at once.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"foxtaillug.org/foxtaild/connector"
+	"foxtaillug.org/foxtaild/directory"
+	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/router"
+)
+
+const (
+	// maxGrants bounds the grants that one request may use up without a byte
+	// being sent.
+	maxGrants = 5
+	// grantLife is how long a decision stays good: a host that was paused
+	// must not act on an old one.
+	grantLife = 400 * time.Millisecond
+	// minLeft is the least time worth sending a request with.
+	minLeft = 30 * time.Millisecond
+	// retryLater is told to callers of requests that ran out of time.
+	retryLater = 300 * time.Millisecond
+)
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	asker     Asker
+	codec     Codec
+	connector *connector.Connector
+	directory *directory.Directory
+	log       *slog.Logger
+}
+
+// New returns a forwarder.
+func New(a Asker, c Codec, conns *connector.Connector, d *directory.Directory, log *slog.Logger) *Forwarder {
+	return &Forwarder{asker: a, codec: c, connector: conns, directory: d, log: log}
+}
+
+// Result tells a front how a request ended.
+type Result struct {
+	// Status is the status passed on, 0 where the request was refused.
+	Status int
+	// Complete reports whether the whole answer was passed on.
+	Complete bool
+}
+
+// run is one request on its way.
+type run struct {
+	*Forwarder
+	r     *Request
+	reply Reply
+	// sent counts the upstreams that a byte was sent to, tried names them.
+	sent  int
+	tried []string
+	// maybeRun reports whether an upstream may have run the request.
+	maybeRun bool
+	// begun reports whether the head of an answer was passed on, and after is
+	// the number of the last event that was.
+	begun bool
+	after int64
+	// failure is an upstream's own failure, to be passed on in the end.
+	failure *answer
+	refusal Refusal
+	queued  time.Duration
+	endings []string
+}
+
+// answer is an upstream's answer with its whole body.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Serve forwards a request and returns when its answer has been passed on.
+func (f *Forwarder) Serve(ctx context.Context, r *Request, reply Reply) Result {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	n := &run{Forwarder: f, r: r, reply: reply, after: r.After}
+	res := n.serve(ctx)
+	n.report(ctx, res)
+	return res
+}
+
+// report writes the request's line into the log.
+func (n *run) report(ctx context.Context, res Result) {
+	r := n.r
+	outcome := "complete"
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		outcome = "callerGone"
+	case res.Status == 0:
+		outcome = n.refusal.Verdict.String()
+	case !res.Complete:
+		outcome = "broken"
+	}
+	n.log.Info("request",
+		"id", r.ID, "route", r.Route.Name, "workspace", r.Workspace, "tier", r.Tier, "pool", r.Pool,
+		"outcome", outcome, "status", res.Status, "reason", n.refusal.Reason,
+		"prompt", r.Prompt, "output", r.Output, "ageMs", r.Age.Milliseconds(),
+		"waitedMs", n.queued.Milliseconds(), "tookMs", time.Since(r.Arrived).Milliseconds(),
+		"upstreams", n.tried, "endings", n.endings)
+}
+
+// serve tries upstreams until the request has its answer or is given up.
+func (n *run) serve(ctx context.Context) Result {
+	for range maxGrants {
+		g, ok := n.ask(ctx)
+		if !ok {
+			return n.giveUp()
+		}
+		end := n.attempt(ctx, g)
+		n.endings = append(n.endings, end.ending.String())
+		switch {
+		case end.delivered:
+			return Result{Status: end.status, Complete: true}
+		case end.ended || ctx.Err() != nil:
+			return n.giveUp()
+		case !n.mayRetry():
+			return n.giveUp()
+		}
+	}
+	n.refusal = Refusal{Verdict: NotRun, Reason: "noUpstream", RetryAfter: retryLater}
+	return n.giveUp()
+}
+
+// mayRetry reports whether the route allows another upstream.
+func (n *run) mayRetry() bool {
+	if n.sent >= max(n.r.Route.Attempts, 1) {
+		return false
+	}
+	return !n.maybeRun || n.r.Route.Repeatable()
+}
+
+// ask gets a decision and keeps the refusal, if it is one.
+func (n *run) ask(ctx context.Context) (Grant, bool) {
+	r := n.r
+	began := time.Now()
+	g, err := n.asker.Ask(ctx, coordinator.Ask{
+		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier,
+		Age: r.Age + began.Sub(r.Arrived), Objective: r.Route.Objective, Left: time.Until(r.Deadline),
+		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output, Prefix: r.Prefix,
+		Repeat: n.sent > 0, Exclude: n.tried, Regions: r.Regions, Digest: r.Digest,
+	})
+	n.queued += time.Since(began)
+	if err != nil {
+		n.refuse(ctx)
+		return g, false
+	}
+	d := g.Decision
+	if d.Reason == coordinator.None {
+		return g, true
+	}
+	if !n.maybeRun {
+		n.refusal = Refusal{Verdict: NotRun, Reason: d.Reason.String(), RetryAfter: d.RetryAfter}
+		if d.Reason == coordinator.OverQuota {
+			n.refusal.Verdict = OverQuota
+		}
+	}
+	return g, false
+}
+
+// refuse sets the refusal of a request whose time is over.
+func (n *run) refuse(ctx context.Context) {
+	v := NotRun
+	if n.maybeRun {
+		v = TimedOut
+	}
+	reason := "deadline"
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = "callerGone"
+	}
+	n.refusal = Refusal{Verdict: v, Reason: reason, RetryAfter: retryLater}
+}
+
+// giveUp ends a request that has no good answer.
+func (n *run) giveUp() Result {
+	if n.begun {
+		n.reply.Abort()
+		return Result{Status: http.StatusOK}
+	}
+	if a := n.failure; a != nil {
+		return n.deliver(a)
+	}
+	if err := n.reply.Refuse(n.refusal); err != nil {
+		n.log.Debug("refusal not delivered", "id", n.r.ID, "error", err.Error())
+	}
+	return Result{}
+}
+
+// deliver passes a whole answer on.
+func (n *run) deliver(a *answer) Result {
+	err := n.reply.Begin(a.status, a.header, len(a.body))
+	if err == nil {
+		err = n.reply.Write(a.body)
+	}
+	if err != nil {
+		n.log.Debug("answer not delivered", "id", n.r.ID, "error", err.Error())
+		n.reply.Abort()
+	}
+	return Result{Status: a.status, Complete: err == nil}
+}
+
+// resumable reports whether the request's stream may go on elsewhere.
+func (n *run) resumable() bool {
+	return n.r.Route.Kind == router.Streaming && n.r.Route.Resumable
+}
--- /dev/null
+++ b/foxtaild/forwarder/types.go
@@ -0,0 +1,127 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/router"
+)
+
+// Request is one caller's request as the product sees it. A front fills it
+// in; it is not changed afterwards.
+type Request struct {
+	// ID is the request's identity, which the upstream repeats in its answer.
+	ID     string
+	Method string
+	// Target is the path with its query, as the caller sent it.
+	Target string
+	Host   string
+	// Header holds what is passed on to the upstream.
+	Header http.Header
+	Body   []byte
+
+	Route     *router.Route
+	Pool      string
+	Workspace string
+	Regions   []string
+	Tier      int
+	Arrived   time.Time
+	// Age is how long before Arrived the caller first asked.
+	Age time.Duration
+	// Deadline is when the caller or the route's timeout ends the request.
+	Deadline time.Time
+	// After is the number of the last event that the caller has, or noEvent.
+	After int64
+	// Cost is what the request takes from the workspace's quota, in tokens.
+	Cost float64
+	// Prompt and Output are the tokens to be read and expected to be
+	// generated; both are 0 for a plain call.
+	Prompt, Output int
+	Prefix         []coordinator.Part
+	Digest         uint64
+}
+
+// NoEvent is the After of a request that has no event yet.
+const NoEvent int64 = -1
+
+// Answer says what the head of an upstream's answer means.
+type Answer struct {
+	// Own reports whether the answer belongs to the request.
+	Own bool
+	// Genuine reports whether the upstream vouches for the answer.
+	Genuine bool
+	// NotRun reports whether the upstream states that it has not run, and will
+	// not run, the request.
+	NotRun bool
+	// Mistaken reports whether another upstream than the one named answered.
+	Mistaken bool
+	// ColdFor is how much longer the upstream says that it stays cold.
+	ColdFor time.Duration
+}
+
+// Codec speaks the upstreams' dialect of HTTP.
+type Codec interface {
+	// Encode appends the head of a request for an upstream, with the time that
+	// is left and the number of the event after which a stream goes on.
+	Encode(b []byte, r *Request, upstream string, left time.Duration, after int64) []byte
+	// Decode reads the head of an answer.
+	Decode(r *Request, status int, h http.Header) Answer
+}
+
+// Reply is where a request's answer goes.
+type Reply interface {
+	// Begin passes on the head of an upstream's answer. A body of a known
+	// length is passed on whole; a length below zero announces a stream.
+	Begin(status int, h http.Header, length int) error
+	// Write passes on a part of the body at once.
+	Write(b []byte) error
+	// Refuse answers a request for which no upstream's answer is passed on.
+	Refuse(r Refusal) error
+	// Abort ends a begun answer so that it can't look complete.
+	Abort()
+}
+
+// Verdict says what is known of a request that no upstream has answered.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// NotRun requests have not run and will not.
+	NotRun Verdict = iota
+	// OverQuota requests have not run as their workspace's quota is used up.
+	OverQuota
+	// Unknown requests may have run; the upstream's answer was lost.
+	Unknown
+	// TimedOut requests may have run; no answer came in time.
+	TimedOut
+)
+
+// String returns the verdict's name for logs.
+func (v Verdict) String() string {
+	return [...]string{"notRun", "overQuota", "unknown", "timedOut"}[v]
+}
+
+// Refusal is the answer to a request that is given up.
+type Refusal struct {
+	Verdict    Verdict
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Grant is an upstream that a request may be sent to, once.
+type Grant struct {
+	Decision coordinator.Decision
+	// Granted is when the decision arrived.
+	Granted time.Time
+	// Progress and Finish report back; Finish must be called exactly once.
+	Progress func(coordinator.Progress)
+	Finish   func(coordinator.Finish)
+}
+
+// Asker gets decisions of coordinators. The grant's decision may be a refusal,
+// which needs no Finish. An error means that ctx has ended.
+type Asker interface {
+	Ask(ctx context.Context, a coordinator.Ask) (Grant, error)
+}
--- /dev/null
+++ b/foxtaild/linker/desk.go
@@ -0,0 +1,162 @@
+package linker
+
+import (
+	"context"
+	"time"
+
+	"foxtaillug.org/foxtaild/directory"
+	"foxtaillug.org/scheduler/coordinator"
+)
+
+const (
+	// deskEvents bounds the events that wait for the coordinator.
+	deskEvents = 4096
+	// deskTick is the time between two looks at what waits.
+	deskTick = 20 * time.Millisecond
+	// idleTick is the same while nothing waits.
+	idleTick = 200 * time.Millisecond
+)
+
+// sink takes the decisions for one entry. It must not block.
+type sink func([]coordinator.Decision)
+
+// desk is the goroutine that owns this host's coordinator.
+type desk struct {
+	coordinator *coordinator.Coordinator
+	directory   *directory.Directory
+	events      chan func(now time.Time)
+	sinks       map[string]sink
+	seen        uint64
+	applied     bool
+	// waiting counts asks without a decision.
+	waiting map[askKey]bool
+}
+
+// askKey identifies an ask at the desk.
+type askKey struct {
+	entry string
+	id    uint64
+}
+
+// newDesk returns a desk that must be run.
+func newDesk(c *coordinator.Coordinator, d *directory.Directory) *desk {
+	return &desk{
+		coordinator: c,
+		directory:   d,
+		events:      make(chan func(time.Time), deskEvents),
+		sinks:       make(map[string]sink),
+		waiting:     make(map[askKey]bool),
+	}
+}
+
+// do runs an event on the desk's goroutine, in the order of the calls.
+func (d *desk) do(ctx context.Context, event func(now time.Time)) {
+	select {
+	case d.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// run serves events until ctx ends.
+func (d *desk) run(ctx context.Context) {
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-d.events:
+			now := time.Now()
+			event(now)
+			for more := true; more; {
+				select {
+				case event := <-d.events:
+					event(now)
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		}
+		now := time.Now()
+		d.refresh(now)
+		d.deliver(d.coordinator.Advance(now))
+		wait := idleTick
+		if len(d.waiting) > 0 {
+			wait = deskTick
+		}
+		timer.Reset(wait)
+	}
+}
+
+// refresh takes over changes of the directory.
+func (d *desk) refresh(now time.Time) {
+	changes := d.directory.Changes()
+	if d.applied && changes == d.seen {
+		return
+	}
+	d.seen, d.applied = changes, true
+	if t := d.directory.Table(); t != nil {
+		d.coordinator.SetTable(t, now)
+	}
+	d.coordinator.SetUpstreams(d.directory.Usables(now), now)
+}
+
+// deliver hands decisions to their entries.
+func (d *desk) deliver(decisions []coordinator.Decision) {
+	byEntry := make(map[string][]coordinator.Decision)
+	for _, one := range decisions {
+		delete(d.waiting, askKey{one.Entry, one.ID})
+		byEntry[one.Entry] = append(byEntry[one.Entry], one)
+	}
+	for entry, list := range byEntry {
+		if s := d.sinks[entry]; s != nil {
+			s(list)
+		}
+	}
+}
+
+// open makes an entry known.
+func (d *desk) open(ctx context.Context, entry string, s sink, running []coordinator.Running) {
+	d.do(ctx, func(now time.Time) {
+		d.coordinator.Drop(entry)
+		d.sinks[entry] = s
+		d.coordinator.Adopt(entry, running, now)
+	})
+}
+
+// take applies a frame of an entry.
+func (d *desk) take(ctx context.Context, entry string, f *frame) {
+	d.do(ctx, func(now time.Time) {
+		for _, x := range f.Finishes {
+			d.coordinator.Finish(entry, x, now)
+		}
+		for _, p := range f.Progress {
+			d.coordinator.Progress(entry, p)
+		}
+		for _, id := range f.Withdrawn {
+			delete(d.waiting, askKey{entry, id})
+			d.coordinator.Withdraw(entry, id)
+		}
+		for _, a := range f.Asks {
+			d.waiting[askKey{entry, a.ID}] = true
+			d.coordinator.Ask(entry, a, now)
+		}
+		if f.Summary != nil {
+			d.coordinator.Heard(*f.Summary, now)
+		}
+	})
+}
+
+// close forgets an entry whose link has ended.
+func (d *desk) close(ctx context.Context, entry string) {
+	d.do(ctx, func(time.Time) {
+		d.coordinator.Drop(entry)
+		delete(d.sinks, entry)
+		for k := range d.waiting {
+			if k.entry == entry {
+				delete(d.waiting, k)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/foxtaild/linker/gossip.go
@@ -0,0 +1,102 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"foxtaillug.org/scheduler/detector"
+)
+
+const (
+	// maxDatagram bounds a membership message, in bytes.
+	maxDatagram = 8 << 10
+	// gossipTick is the time between two ticks of the membership protocol.
+	gossipTick = 60 * time.Millisecond
+	// gossipQueue bounds the messages that wait to be taken in.
+	gossipQueue = 256
+)
+
+// datagram is a message with its sender's address.
+type datagram struct {
+	from    string
+	message detector.Message
+}
+
+// receiveGossip reads datagrams until the socket is closed.
+func (l *Linker) receiveGossip(ctx context.Context, in chan<- datagram) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := l.packets.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.log.Debug("datagram not read", "error", err.Error())
+			time.Sleep(gossipTick)
+			continue
+		}
+		var m detector.Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			l.log.Debug("datagram not understood", "from", from.String(), "error", err.Error())
+			continue
+		}
+		select {
+		case in <- datagram{from: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), message: m}:
+		default:
+		}
+	}
+}
+
+// gossip owns the detector until ctx ends.
+func (l *Linker) gossip(ctx context.Context) {
+	in := make(chan datagram, gossipQueue)
+	go l.receiveGossip(ctx, in)
+	stop := context.AfterFunc(ctx, func() { _ = l.packets.Close() })
+	defer stop()
+	tick := time.NewTicker(gossipTick)
+	defer tick.Stop()
+	leaving := l.leaving
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-in:
+			l.sendPackets(l.detector.Receive(d.from, d.message, time.Now()))
+		case <-leaving:
+			leaving = nil
+			l.sendPackets(l.detector.Leave(time.Now()))
+		case <-tick.C:
+			version := uint64(0)
+			if t := l.directory.Table(); t != nil {
+				version = t.Version()
+			}
+			l.detector.Announce(version, l.directory.Revision())
+			l.sendPackets(l.detector.Tick(time.Now()))
+		}
+		l.viewFleet()
+	}
+}
+
+// sendPackets sends membership messages; one that can't be sent is as good as
+// lost.
+func (l *Linker) sendPackets(packets []detector.Packet) {
+	for _, p := range packets {
+		to, err := net.ResolveUDPAddr("udp4", p.To)
+		if err != nil {
+			l.log.Debug("bad member address", "address", p.To, "error", err.Error())
+			continue
+		}
+		b, err := cbor.Marshal(p.Message)
+		if err != nil {
+			l.log.Error("membership message not encoded", "error", err.Error())
+			continue
+		}
+		if _, err := l.packets.WriteToUDP(b, to); err != nil {
+			l.log.Debug("membership message not sent", "to", p.To, "error", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/foxtaild/linker/linker.go
@@ -0,0 +1,484 @@
+package linker
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"foxtaillug.org/foxtaild/directory"
+	"foxtaillug.org/foxtaild/forwarder"
+	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/detector"
+)
+
+const (
+	// summaryTick is the time between two summaries to other coordinators.
+	summaryTick = 150 * time.Millisecond
+	// fetchTick is the time between two looks at what peers know.
+	fetchTick = 200 * time.Millisecond
+	// fetchTime bounds the fetch of a peer's snapshot.
+	fetchTime = time.Second
+	// storeStale is how long the store may be silent before peers are asked.
+	storeStale = 2500 * time.Millisecond
+	// quotaSlack widens a part of a quota within the allowed overshoot, so
+	// that a few dead hosts cost nothing.
+	quotaSlack = 1.15
+	// aloneShare is the part of a host's limits that it uses while it decides
+	// alone, beside what a coordinator may use.
+	aloneShare = 0.25
+)
+
+// Settings say who a host is and how it reaches others.
+type Settings struct {
+	// Host names the host, Process this run of it.
+	Host, Process  string
+	Domain, Region string
+	// Address is the IP and port for membership (UDP) and links (TCP).
+	Address string
+	// Contacts are addresses of some other hosts, which may be down.
+	Contacts []string
+	// Regions maps every failure domain to its region.
+	Regions map[string]string
+	Bounds  coordinator.Bounds
+}
+
+// view is what is derived from membership.
+type view struct {
+	// coordinators maps failure domains to the address of their coordinator.
+	coordinators map[string]string
+	// self reports whether this host is its domain's coordinator.
+	self    bool
+	members []detector.Member
+	hosts   int
+}
+
+// Linker joins a host with its fleet. It is safe for concurrent use.
+type Linker struct {
+	settings  Settings
+	directory *directory.Directory
+	log       *slog.Logger
+	desk      *desk
+	detector  *detector.Detector
+	packets   *net.UDPConn
+	listener  net.Listener
+	view      atomic.Pointer[view]
+	seen      uint64
+	seq       atomic.Uint64
+	leaving   chan struct{}
+	ctx       context.Context
+
+	mu      sync.Mutex
+	links   map[string]*link
+	failed  map[string]time.Time
+	running map[uint64]coordinator.Running
+	local   map[uint64]chan coordinator.Decision
+}
+
+// New opens the sockets of a host. Run must be called.
+func New(s Settings, d *directory.Directory, log *slog.Logger) (l *Linker, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "links between hosts")
+		}
+	}()
+	addr, err := net.ResolveUDPAddr("udp4", s.Address)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	l = &Linker{
+		settings:  s,
+		directory: d,
+		log:       log,
+		desk:      newDesk(coordinator.New(s.Process, s.Bounds, now), d),
+		detector: detector.New(detector.Member{
+			ID: s.Host, Address: s.Address, Domain: s.Domain, Region: s.Region,
+			Incarnation: uint64(now.UnixMilli()),
+		}, s.Contacts, uint64(now.UnixNano())),
+		leaving: make(chan struct{}),
+		links:   make(map[string]*link),
+		failed:  make(map[string]time.Time),
+		running: make(map[uint64]coordinator.Running),
+		local:   make(map[uint64]chan coordinator.Decision),
+	}
+	l.view.Store(&view{})
+	if l.packets, err = net.ListenUDP("udp4", addr); err != nil {
+		return nil, err
+	}
+	if l.listener, err = net.Listen("tcp4", s.Address); err != nil {
+		_ = l.packets.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Run serves until ctx ends.
+func (l *Linker) Run(ctx context.Context) {
+	l.ctx = ctx
+	var wg sync.WaitGroup
+	l.desk.open(ctx, l.settings.Host, l.takeLocal, nil)
+	l.applyFleet(l.view.Load())
+	wg.Go(func() { l.desk.run(ctx) })
+	wg.Go(func() { l.gossip(ctx) })
+	wg.Go(func() { l.serveLinks(ctx) })
+	wg.Go(func() { l.sendSummaries(ctx) })
+	wg.Go(func() { l.fetchSnapshots(ctx) })
+	wg.Wait()
+}
+
+// Leave tells the fleet that this host takes no new duties. It may be called
+// once.
+func (l *Linker) Leave() { close(l.leaving) }
+
+// Members returns the other hosts that are known.
+func (l *Linker) Members() []detector.Member { return l.view.Load().members }
+
+// viewFleet derives a new view when membership has changed.
+func (l *Linker) viewFleet() {
+	if c := l.detector.Changes(); c == l.seen && l.seen != 0 {
+		return
+	}
+	l.seen = l.detector.Changes()
+	old := l.view.Load()
+	v := l.derive()
+	l.view.Store(v)
+	if old.self != v.self || old.hosts != v.hosts || !maps.Equal(old.coordinators, v.coordinators) {
+		l.log.Info("view of the fleet", "hosts", v.hosts, "coordinator", v.self, "coordinators", v.coordinators)
+	}
+	l.applyFleet(v)
+}
+
+// derive works out the coordinators.
+func (l *Linker) derive() *view {
+	self := l.detector.Self()
+	v := &view{coordinators: make(map[string]string), members: l.detector.Members()}
+	oldest := make(map[string]detector.Member)
+	for _, m := range append(slices.Clone(v.members), self) {
+		v.hosts++
+		if m.Status >= detector.Dead || m.Leaving {
+			continue
+		}
+		if o, ok := oldest[m.Domain]; !ok || older(m, o) {
+			oldest[m.Domain] = m
+		}
+	}
+	for domain, m := range oldest {
+		v.coordinators[domain] = m.Address
+	}
+	v.self = oldest[self.Domain].ID == self.ID
+	return v
+}
+
+// older reports whether a process has run longer than another.
+func older(a, b detector.Member) bool {
+	return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.ID, b.ID)) < 0
+}
+
+// scope returns the failure domains whose upstreams this host's domain
+// coordinates: its own, and those without a live host that it is first to
+// take over.
+func (l *Linker) scope(v *view) []string {
+	scope := []string{l.settings.Domain}
+	for domain, region := range l.settings.Regions {
+		if v.coordinators[domain] != "" || domain == l.settings.Domain {
+			continue
+		}
+		heirs := make([]string, 0, len(v.coordinators))
+		for d := range v.coordinators {
+			heirs = append(heirs, d)
+		}
+		slices.SortFunc(heirs, func(a, b string) int {
+			nearA, nearB := l.settings.Regions[a] == region, l.settings.Regions[b] == region
+			if nearA != nearB {
+				if nearA {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(a, b)
+		})
+		if len(heirs) > 0 && heirs[0] == l.settings.Domain {
+			scope = append(scope, domain)
+		}
+	}
+	return scope
+}
+
+// applyFleet tells the coordinator what the view means for it.
+func (l *Linker) applyFleet(v *view) {
+	hosts := max(v.hosts, 1)
+	heard, own := 1, 1
+	for _, m := range v.members {
+		if m.Status >= detector.Dead {
+			continue
+		}
+		heard++
+		if m.Domain == l.settings.Domain {
+			own++
+		}
+	}
+	f := coordinator.Fleet{
+		Hosts: hosts, Domain: l.settings.Domain, Regions: l.settings.Regions,
+		Alone: !v.self, Scope: l.scope(v),
+	}
+	if v.self {
+		f.Share = float64(own) / float64(hosts)
+		f.QuotaPart = min(1, quotaSlack*float64(heard)/float64(hosts))
+	} else {
+		f.Share = aloneShare / float64(hosts)
+		f.QuotaPart = aloneShare / float64(hosts)
+	}
+	l.desk.do(l.ctx, func(now time.Time) { l.desk.coordinator.SetFleet(f, now) })
+}
+
+// takeLocal takes decisions of this host's own coordinator.
+func (l *Linker) takeLocal(decisions []coordinator.Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, d := range decisions {
+		if ch := l.local[d.ID]; ch != nil {
+			ch <- d
+			delete(l.local, d.ID)
+		}
+	}
+}
+
+// askLocal asks this host's own coordinator.
+func (l *Linker) askLocal(ctx context.Context, a coordinator.Ask) (d coordinator.Decision, err error) {
+	ch := make(chan coordinator.Decision, 1)
+	l.mu.Lock()
+	l.local[a.ID] = ch
+	l.mu.Unlock()
+	l.desk.take(ctx, l.settings.Host, &frame{Asks: []coordinator.Ask{a}})
+	select {
+	case d = <-ch:
+		return d, nil
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	delete(l.local, a.ID)
+	l.mu.Unlock()
+	l.desk.take(l.ctx, l.settings.Host, &frame{Withdrawn: []uint64{a.ID}, Finishes: []coordinator.Finish{{ID: a.ID, Ending: coordinator.Unused}}})
+	return d, ctx.Err()
+}
+
+// link returns a live link to an address, dialling one if need be.
+func (l *Linker) link(ctx context.Context, address string) (*link, error) {
+	l.mu.Lock()
+	k := l.links[address]
+	if k != nil && k.live() {
+		l.mu.Unlock()
+		return k, nil
+	}
+	if time.Since(l.failed[address]) < linkRetry {
+		l.mu.Unlock()
+		return nil, errLink
+	}
+	running := make([]coordinator.Running, 0, len(l.running))
+	for _, r := range l.running {
+		running = append(running, r)
+	}
+	l.mu.Unlock()
+	k, err := dialLink(ctx, address, hello{Entry: l.settings.Host, Running: running}, l.log)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failed[address] = time.Now()
+		return nil, err
+	}
+	if other := l.links[address]; other != nil && other.live() {
+		k.fail(errLink)
+		return other, nil
+	}
+	l.links[address] = k
+	return k, nil
+}
+
+// Ask gets a decision: of this domain's coordinator, of the one it names, or,
+// where none answers, of this host alone.
+func (l *Linker) Ask(ctx context.Context, a coordinator.Ask) (g forwarder.Grant, err error) {
+	a.ID = l.seq.Add(1)
+	v := l.view.Load()
+	began := time.Now()
+	var via *link
+	var d coordinator.Decision
+	if v.self {
+		d, err = l.askLocal(ctx, a)
+	} else {
+		d, via, err = l.askLink(ctx, v.coordinators[l.settings.Domain], a)
+	}
+	if err == nil && d.Domain != "" {
+		a.Redirected = true
+		a.Age += time.Since(began)
+		a.Left -= time.Since(began)
+		d, via, err = l.askLink(ctx, v.coordinators[d.Domain], a)
+	}
+	if err == nil && d.Domain != "" {
+		err = errLink
+	}
+	if err != nil && ctx.Err() == nil {
+		l.log.Debug("deciding alone", "ask", a.ID, "error", err.Error())
+		via = nil
+		d, err = l.askLocal(ctx, a)
+		if err == nil && d.Domain != "" {
+			d = coordinator.Decision{ID: a.ID, Reason: coordinator.NoCapacity, RetryAfter: linkRetry}
+		}
+	}
+	if err != nil {
+		return g, err
+	}
+	return l.grant(a, d, via), nil
+}
+
+// askLink asks a coordinator at an address.
+func (l *Linker) askLink(ctx context.Context, address string, a coordinator.Ask) (d coordinator.Decision, k *link, err error) {
+	if address == "" || address == l.settings.Address {
+		return d, nil, errLink
+	}
+	if k, err = l.link(ctx, address); err != nil {
+		return d, nil, err
+	}
+	d, err = k.ask(ctx, a)
+	return d, k, err
+}
+
+// grant wraps a decision so that its end is reported to who made it.
+func (l *Linker) grant(a coordinator.Ask, d coordinator.Decision, via *link) forwarder.Grant {
+	g := forwarder.Grant{Decision: d, Granted: time.Now()}
+	if d.Upstream == "" {
+		return g
+	}
+	l.mu.Lock()
+	l.running[a.ID] = coordinator.Running{ID: a.ID, Upstream: d.Upstream, Prompt: a.Prompt, Output: a.Output, Digest: a.Digest}
+	l.mu.Unlock()
+	report := func(f frame) {
+		if via == nil {
+			l.desk.take(l.ctx, l.settings.Host, &f)
+			return
+		}
+		l.mu.Lock()
+		now := l.links[via.address]
+		l.mu.Unlock()
+		if now != nil {
+			now.send(f)
+		}
+	}
+	g.Progress = func(p coordinator.Progress) { report(frame{Progress: []coordinator.Progress{p}}) }
+	g.Finish = func(f coordinator.Finish) {
+		l.mu.Lock()
+		delete(l.running, a.ID)
+		l.mu.Unlock()
+		report(frame{Finishes: []coordinator.Finish{f}})
+	}
+	return g
+}
+
+// sendSummaries tells other coordinators what they need to know while this
+// host is one.
+func (l *Linker) sendSummaries(ctx context.Context) {
+	tick := time.NewTicker(summaryTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		v := l.view.Load()
+		if !v.self {
+			continue
+		}
+		ready := make(chan coordinator.Summary, 1)
+		l.desk.do(ctx, func(now time.Time) { ready <- l.desk.coordinator.Summary(now) })
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-ready:
+			for domain, address := range v.coordinators {
+				if domain == l.settings.Domain {
+					continue
+				}
+				go func() {
+					if k, err := l.link(ctx, address); err == nil {
+						k.send(frame{Summary: &s})
+					}
+				}()
+			}
+		}
+	}
+}
+
+// fetchSnapshots takes over what a peer knows where this host can't read the
+// store, or lags behind.
+func (l *Linker) fetchSnapshots(ctx context.Context) {
+	tick := time.NewTicker(fetchTick)
+	defer tick.Stop()
+	lagging := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		best, ok := l.ahead()
+		if !ok {
+			lagging = 0
+			continue
+		}
+		lagging++
+		known := l.directory.Known()
+		if known && lagging < 2 {
+			continue
+		}
+		l.fetch(ctx, best)
+	}
+}
+
+// ahead returns the live member that knows more than this host, if the store
+// does not tell this host itself.
+func (l *Linker) ahead() (best detector.Member, ok bool) {
+	version, revision := uint64(0), l.directory.Revision()
+	if t := l.directory.Table(); t != nil {
+		version = t.Version()
+	}
+	stale := !l.directory.Known() || l.directory.Stale(time.Now(), storeStale)
+	for _, m := range l.Members() {
+		if m.Status != detector.Alive {
+			continue
+		}
+		news := m.Version > version || stale && m.Revision > revision
+		if news && (!ok || m.Revision > best.Revision) {
+			best, ok = m, true
+		}
+	}
+	return best, ok
+}
+
+// fetch takes over a member's snapshot.
+func (l *Linker) fetch(ctx context.Context, m detector.Member) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTime)
+	defer cancel()
+	k, err := l.link(ctx, m.Address)
+	var s directory.Snapshot
+	if err == nil {
+		s, err = k.fetch(ctx)
+	}
+	if err == nil {
+		err = l.directory.Adopt(s, time.Now())
+	}
+	if err != nil {
+		l.log.Info("snapshot not taken over", "member", m.ID, "error", err.Error())
+	}
+}
+
+// formatUint writes a number.
+func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/scheduler/coordinator/types.go
@@ -0,0 +1,157 @@
+package coordinator
+
+import "time"
+
+// Part is one part of a prompt that engines may keep in memory.
+type Part struct {
+	Hash   uint64
+	Tokens int
+}
+
+// Ask requests one slot on an upstream of a pool. It is a message between
+// hosts as well; all times are durations, as the hosts' clocks differ.
+type Ask struct {
+	// ID numbers the ask among those of its entry host.
+	ID        uint64
+	Pool      string
+	Workspace string
+	// Tier is the caller's standing; 0 is the highest.
+	Tier int
+	// Age is how long ago the caller first asked.
+	Age time.Duration
+	// Objective is the time to the first byte that the operators aim at,
+	// counted like Age.
+	Objective time.Duration
+	// Left is how much longer the caller waits.
+	Left time.Duration
+	// Cost is what the request takes from its workspace's quota, in tokens.
+	Cost float64
+	// Prompt and Output are the tokens to be read and expected to be
+	// generated; both are 0 for a plain call.
+	Prompt, Output int
+	Prefix         []Part
+	// Repeat marks a request that an upstream was already sent.
+	Repeat bool
+	// Exclude names upstreams that are not to be tried again.
+	Exclude []string
+	// Regions are where the request may be served; empty means anywhere.
+	Regions []string
+	// Digest identifies the request's content for the quarantine.
+	Digest uint64
+	// Redirected marks an ask that another coordinator has counted against
+	// the limits; it is not passed on again.
+	Redirected bool
+}
+
+// Reason says why an ask was refused.
+type Reason uint8
+
+// The reasons for a refusal.
+const (
+	// None is the reason of an ask that was not refused.
+	None Reason = iota
+	// NoCapacity means that no slot is free in time.
+	NoCapacity
+	// NoUpstream means that the pool has no upstream that may get work.
+	NoUpstream
+	// OverQuota means that the workspace has used up its quota.
+	OverQuota
+	// OverRetries means that the pool's retry budget is used up.
+	OverRetries
+	// Quarantined means that the request crashed upstreams before.
+	Quarantined
+)
+
+// String returns the reason's name for logs.
+func (r Reason) String() string {
+	return [...]string{"none", "noCapacity", "noUpstream", "overQuota", "overRetries", "quarantined"}[r]
+}
+
+// Decision is the answer to an ask: an upstream, another failure domain whose
+// coordinator is to be asked, or a refusal.
+type Decision struct {
+	// Entry is the host that asked.
+	Entry string
+	ID    uint64
+	// Upstream is the upstream granted.
+	Upstream string
+	// Domain is the failure domain to ask instead.
+	Domain string
+	Reason Reason
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+}
+
+// Ending says how a granted request ended.
+type Ending uint8
+
+// The ways a granted request ends.
+const (
+	// Complete requests were answered well.
+	Complete Ending = iota
+	// Unused grants reached no upstream.
+	Unused
+	// Rejected requests were refused by the upstream without running.
+	Rejected
+	// Failed requests ran and were answered with a failure.
+	Failed
+	// Broken requests lost their connection after they had been sent.
+	Broken
+	// Silent requests got no answer in time.
+	Silent
+	// Unreached upstreams took no connection.
+	Unreached
+	// Mistaken grants reached another upstream than the one named.
+	Mistaken
+	// Abandoned requests were given up by their caller.
+	Abandoned
+)
+
+// String returns the ending's name for logs.
+func (e Ending) String() string {
+	return [...]string{"complete", "unused", "rejected", "failed", "broken", "silent", "unreached", "mistaken", "abandoned"}[e]
+}
+
+// Finish tells a coordinator how a granted request ended.
+type Finish struct {
+	ID     uint64
+	Ending Ending
+	// FirstToken is the time from sending to the first event, 0 if none came.
+	FirstToken time.Duration
+	// Generating is the time from the first to the last event.
+	Generating time.Duration
+	// Total is the time from sending to the end.
+	Total time.Duration
+	// Tokens is the number of tokens generated after the first event.
+	Tokens int
+	// ColdFor is how much longer the upstream said it stays cold.
+	ColdFor time.Duration
+}
+
+// Progress tells a coordinator that a granted request got its first event.
+type Progress struct {
+	ID         uint64
+	FirstToken time.Duration
+}
+
+// Running describes a granted request to a coordinator that did not grant it.
+type Running struct {
+	ID       uint64
+	Upstream string
+	Prompt   int
+	Output   int
+	Digest   uint64
+}
+
+// Summary is what coordinators tell each other several times a second.
+type Summary struct {
+	// Process names the coordinator's process, Domain its failure domain.
+	Process, Domain string
+	// Free is the number of free slots of each pool, less what waits.
+	Free map[string]int
+	// Used is what each workspace was admitted since the process started, in
+	// tokens.
+	Used map[string]float64
+	// Crashes counts upstream crashes by request digest.
+	Crashes map[uint64]int
+}
