linker, coordinator: grants are held by every coordinator that was told of them

Cause: after a change of coordinator an entry told the new one what it ran, but reported the end only to the one that had granted it. Change: each link that was told of a running request hears of its end; grants expire with the time their caller had left. The request line now has the time of the first event and the longest pause.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -79,6 +79,10 @@
 	refusal Refusal
 	queued  time.Duration
 	endings []string
+	// firstByte is when the first event came after the request's arrival,
+	// longest the longest pause after it, which ended at lastByte.
+	firstByte, longest time.Duration
+	lastByte           time.Time
 }
 
 // answer is an upstream's answer with its whole body.
@@ -114,7 +118,7 @@
 		"id", r.ID, "route", r.Route.Name, "workspace", r.Workspace, "tier", r.Tier, "pool", r.Pool,
 		"outcome", outcome, "status", res.Status, "reason", n.refusal.Reason,
 		"prompt", r.Prompt, "output", r.Output, "ageMs", r.Age.Milliseconds(),
-		"waitedMs", n.queued.Milliseconds(), "tookMs", time.Since(r.Arrived).Milliseconds(),
+		"waitedMs", n.queued.Milliseconds(), "firstMs", n.firstByte.Milliseconds(), "pauseMs", n.longest.Milliseconds(), "tookMs", time.Since(r.Arrived).Milliseconds(),
 		"upstreams", n.tried, "endings", n.endings)
 }
 
--- a/foxtaild/forwarder/stream.go
+++ b/foxtaild/forwarder/stream.go
@@ -66,12 +66,18 @@
 	var first, last time.Time
 	events := 0
 	err := a.readEvents(resp.Body, func(e event) error {
-		last = time.Now()
+		now := time.Now()
 		if first.IsZero() {
-			first = last
+			first = now
 			a.finish.FirstToken = first.Sub(a.began)
 			a.grant.Progress(coordinator.Progress{ID: a.grant.Decision.ID, FirstToken: a.finish.FirstToken})
 		}
+		if a.firstByte == 0 {
+			a.firstByte = now.Sub(a.r.Arrived)
+		} else {
+			a.longest = max(a.longest, now.Sub(a.lastByte))
+		}
+		last, a.lastByte = now, now
 		events++
 		return a.passOn(resp, e)
 	})
--- a/foxtaild/linker/link.go
+++ b/foxtaild/linker/link.go
@@ -48,8 +48,8 @@
 	err       error
 }
 
-// dialLink opens a link and says hello.
-func dialLink(ctx context.Context, address string, h hello, log *slog.Logger) (l *link, err error) {
+// dialLink opens a link, on which a hello must be sent first.
+func dialLink(ctx context.Context, address string, log *slog.Logger) (l *link, err error) {
 	d := net.Dialer{Timeout: linkDial}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -65,7 +65,6 @@
 		heard:     time.Now(),
 		broken:    make(chan struct{}),
 	}
-	l.out <- frame{Hello: &h}
 	go l.write()
 	go l.read()
 	return l, nil
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -51,6 +51,16 @@
 	Bounds  coordinator.Bounds
 }
 
+// granted is a request that runs by a coordinator's grant.
+type granted struct {
+	coordinator.Running
+	deadline time.Time
+	// holders are the links whose coordinators count the request as running:
+	// the one that granted it, and those that were told of it since. Each must
+	// hear of its end.
+	holders []*link
+}
+
 // view is what is derived from membership.
 type view struct {
 	// coordinators maps failure domains to the address of their coordinator.
@@ -79,7 +89,7 @@
 	mu      sync.Mutex
 	links   map[string]*link
 	failed  map[string]time.Time
-	running map[uint64]coordinator.Running
+	running map[uint64]*granted
 	local   map[uint64]chan coordinator.Decision
 }
 
@@ -99,7 +109,7 @@
 		settings:  s,
 		directory: d,
 		log:       log,
-		desk:      newDesk(coordinator.New(s.Process, s.Bounds, now), d),
+		desk:      newDesk(coordinator.New(s.Process, s.Bounds), d),
 		detector: detector.New(detector.Member{
 			ID: s.Host, Address: s.Address, Domain: s.Domain, Region: s.Region,
 			Incarnation: uint64(now.UnixMilli()),
@@ -107,7 +117,7 @@
 		leaving: make(chan struct{}),
 		links:   make(map[string]*link),
 		failed:  make(map[string]time.Time),
-		running: make(map[uint64]coordinator.Running),
+		running: make(map[uint64]*granted),
 		local:   make(map[uint64]chan coordinator.Decision),
 	}
 	l.view.Store(&view{})
@@ -283,12 +293,8 @@
 		l.mu.Unlock()
 		return nil, errLink
 	}
-	running := make([]coordinator.Running, 0, len(l.running))
-	for _, r := range l.running {
-		running = append(running, r)
-	}
 	l.mu.Unlock()
-	k, err := dialLink(ctx, address, hello{Entry: l.settings.Host, Running: running}, l.log)
+	k, err := dialLink(ctx, address, l.log)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -300,9 +306,22 @@
 		return other, nil
 	}
 	l.links[address] = k
+	k.send(frame{Hello: l.hello(k)})
 	return k, nil
 }
 
+// hello describes this entry to a new link's coordinator, which from then on
+// holds what runs. The caller holds the lock.
+func (l *Linker) hello(k *link) *hello {
+	h := &hello{Entry: l.settings.Host}
+	for _, r := range l.running {
+		r.Left = time.Until(r.deadline)
+		r.holders = append(r.holders, k)
+		h.Running = append(h.Running, r.Running)
+	}
+	return h
+}
+
 // Ask gets a decision: of this domain's coordinator, of the one it names, or,
 // where none answers, of this host alone.
 func (l *Linker) Ask(ctx context.Context, a coordinator.Ask) (g forwarder.Grant, err error) {
@@ -357,31 +376,41 @@
 	if d.Upstream == "" {
 		return g
 	}
+	r := &granted{
+		Running:  coordinator.Running{ID: a.ID, Upstream: d.Upstream, Prompt: a.Prompt, Output: a.Output, Digest: a.Digest},
+		deadline: time.Now().Add(a.Left),
+	}
+	if via != nil {
+		r.holders = []*link{via}
+	}
 	l.mu.Lock()
-	l.running[a.ID] = coordinator.Running{ID: a.ID, Upstream: d.Upstream, Prompt: a.Prompt, Output: a.Output, Digest: a.Digest}
+	l.running[a.ID] = r
 	l.mu.Unlock()
-	report := func(f frame) {
-		if via == nil {
-			l.desk.take(l.ctx, l.settings.Host, &f)
-			return
-		}
-		l.mu.Lock()
-		now := l.links[via.address]
-		l.mu.Unlock()
-		if now != nil {
-			now.send(f)
-		}
-	}
-	g.Progress = func(p coordinator.Progress) { report(frame{Progress: []coordinator.Progress{p}}) }
+	g.Progress = func(p coordinator.Progress) { l.tell(r, via == nil, frame{Progress: []coordinator.Progress{p}}) }
 	g.Finish = func(f coordinator.Finish) {
 		l.mu.Lock()
 		delete(l.running, a.ID)
 		l.mu.Unlock()
-		report(frame{Finishes: []coordinator.Finish{f}})
+		l.tell(r, via == nil, frame{Finishes: []coordinator.Finish{f}})
 	}
 	return g
 }
 
+// tell sends news of a running request to whoever counts it.
+func (l *Linker) tell(r *granted, local bool, f frame) {
+	if local {
+		l.desk.take(l.ctx, l.settings.Host, &f)
+	}
+	l.mu.Lock()
+	holders := slices.Clone(r.holders)
+	l.mu.Unlock()
+	for _, k := range holders {
+		if k.live() {
+			k.send(f)
+		}
+	}
+}
+
 // sendSummaries tells other coordinators what they need to know while this
 // host is one.
 func (l *Linker) sendSummaries(ctx context.Context) {
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -11,6 +11,13 @@
 	"foxtaillug.org/scheduler/router"
 )
 
+const (
+	// expiryPeriod is the time between two looks for expired grants.
+	expiryPeriod = time.Second
+	// expiryMargin is how much longer than its caller waits a grant counts.
+	expiryMargin = time.Second
+)
+
 // Bounds are the promises that hold over the whole fleet.
 type Bounds struct {
 	// RetryRatio is the number of retries allowed for each request.
@@ -76,7 +83,8 @@
 	crashes   map[uint64]int
 	peers     map[string]peer
 	decisions []Decision
-	started   time.Time
+	// expired is when grants were last looked through for expiry.
+	expired time.Time
 }
 
 // peer is what another coordinator last said.
@@ -88,7 +96,7 @@
 }
 
 // New returns a coordinator without upstreams for a process.
-func New(process string, b Bounds, now time.Time) *Coordinator {
+func New(process string, b Bounds) *Coordinator {
 	return &Coordinator{
 		process:   process,
 		bounds:    b,
@@ -99,7 +107,6 @@
 		suspects:  quarantiner.New(),
 		crashes:   make(map[uint64]int),
 		peers:     make(map[string]peer),
-		started:   now,
 		fleet:     Fleet{Hosts: 1},
 	}
 }
@@ -190,7 +197,7 @@
 		if u == nil || c.grants[key{entry, r.ID}] != nil {
 			continue
 		}
-		c.begin(key{entry, r.ID}, Ask{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Digest: r.Digest}, u, now).started = true
+		c.begin(key{entry, r.ID}, Ask{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Digest: r.Digest, Left: r.Left}, u, now).started = true
 	}
 }
 
@@ -284,6 +291,10 @@
 
 // Advance returns the decisions made since the last call.
 func (c *Coordinator) Advance(now time.Time) []Decision {
+	if now.Sub(c.expired) >= expiryPeriod {
+		c.expired = now
+		c.expire(now)
+	}
 	for _, p := range c.pools {
 		c.serve(p, now)
 	}
@@ -292,6 +303,17 @@
 	return d
 }
 
+// expire drops grants whose request must have ended: their entry never said
+// so, and the slot would be lost for good.
+func (c *Coordinator) expire(now time.Time) {
+	for k, g := range c.grants {
+		if now.Sub(g.at) > g.ask.Left+expiryMargin {
+			delete(g.upstream.running, k)
+			delete(c.grants, k)
+		}
+	}
+}
+
 // decide records a decision.
 func (c *Coordinator) decide(entry string, d Decision) {
 	d.Entry = entry
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -161,6 +161,20 @@
 	return best
 }
 
+// quickest returns the shortest time to a first byte that any upstream of a
+// pool would take.
+func (c *Coordinator) quickest(p *pool, a Ask, now time.Time) (best time.Duration) {
+	for _, u := range c.upstreams {
+		if u.Pool != p.Name || !u.eligible(c, now) {
+			continue
+		}
+		if d := u.firstToken(a); best == 0 || d < best {
+			best = d
+		}
+	}
+	return best
+}
+
 // exists reports whether any upstream of a pool may serve a request, now or
 // later.
 func (c *Coordinator) exists(p *pool, a Ask, now time.Time) bool {
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -22,6 +22,9 @@
 	// lateReserve is kept of the time a caller has left, so that an answer
 	// still arrives.
 	lateReserve = 100 * time.Millisecond
+	// lateWait is how long a request waits at most for a late answer. Callers
+	// abandon a stream that has no event after two seconds.
+	lateWait = 1400 * time.Millisecond
 )
 
 // waiter is an ask in the queue.
@@ -29,6 +32,9 @@
 	Ask
 	entry string
 	since time.Time
+	// slack is how much later the request could be sent and still meet its
+	// objective; below zero it is late.
+	slack time.Duration
 }
 
 // age returns how long ago the caller first asked.
@@ -85,7 +91,10 @@
 	if len(p.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *waiter) int { return c.order(a, b, now) })
+	for _, w := range p.waiting {
+		w.slack = w.Objective - w.age(now) - c.quickest(p, w.Ask, now)
+	}
+	slices.SortStableFunc(p.waiting, c.order)
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
 		if !c.settle(p, w, now) {
@@ -97,16 +106,17 @@
 }
 
 // order ranks those that wait: by tier, then those that can still meet their
-// objective, then by the time left to meet it.
-func (c *Coordinator) order(a, b *waiter, now time.Time) int {
+// objective, then by the time left to meet it. Without the second step a
+// burst would make every request late: the longest waiting go first, and each
+// is served just after its objective.
+func (c *Coordinator) order(a, b *waiter) int {
 	if a.Tier != b.Tier {
 		return cmp.Compare(a.Tier, b.Tier)
 	}
-	slackA, slackB := a.Objective-a.age(now), b.Objective-b.age(now)
-	if (slackA > 0) != (slackB > 0) {
-		return cmp.Compare(slackB, slackA)
+	if (a.slack > 0) != (b.slack > 0) {
+		return cmp.Compare(b.slack, a.slack)
 	}
-	return cmp.Compare(slackA, slackB)
+	return cmp.Compare(a.slack, b.slack)
 }
 
 // settle decides on one ask if it can, and reports whether it did.
@@ -142,7 +152,7 @@
 	if w.left(now) < lateReserve {
 		return true
 	}
-	return w.age(now) > w.Objective
+	return now.Sub(w.since) > max(w.Objective-w.Age, lateWait)
 }
 
 // redirect returns the failure domain whose coordinator has room for a
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -141,6 +141,8 @@
 	Prompt   int
 	Output   int
 	Digest   uint64
+	// Left is how much longer the request may run.
+	Left time.Duration
 }
 
 // Summary is what coordinators tell each other several times a second.
