linker, directory, platform: two readers of the store in each failure domain

Change: the two oldest hosts of a domain read the store and tell the others what has changed; a host that is told nothing recent reads for itself. Now hosts follow both readers, which say how old their last answer is.

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -28,14 +28,25 @@
 	ColdFor time.Duration
 }
 
-// Snapshot is a host's whole knowledge, for a peer.
+// Snapshot is what a host tells a peer of its knowledge.
 type Snapshot struct {
-	Document  router.Document
+	// Full snapshots hold all upstreams, others only those that have changed
+	// since the snapshot before.
+	Full bool
+	// Document is nil if it is the one told before.
+	Document  *router.Document
 	Upstreams []Upstream
+	Removed   []string
 	Evacuated []string
 	Revision  uint64
 }
 
+// Mark says how much of a directory a peer was told.
+type Mark struct {
+	version, entries, changes uint64
+	full                      bool
+}
+
 // Directory is safe for concurrent use.
 type Directory struct {
 	log     *slog.Logger
@@ -48,6 +59,7 @@
 	revision  uint64
 	listed    bool
 	healthyAt time.Time
+	fedAt     time.Time
 }
 
 // New returns a directory that knows nothing.
@@ -133,6 +145,14 @@
 	d.registrar.Unstable(now)
 }
 
+// Answered returns when the store last answered this host, or a peer that
+// tells this host what it reads.
+func (d *Directory) Answered() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.healthyAt
+}
+
 // Stale reports whether the store has not answered this host for a time.
 func (d *Directory) Stale(now time.Time, after time.Duration) bool {
 	d.mu.Lock()
@@ -156,15 +176,45 @@
 	return d.registrar.Usables(now)
 }
 
-// Snapshot returns what a peer may take over.
-func (d *Directory) Snapshot(now time.Time) (s Snapshot, ok bool) {
+// Fed says that a peer has told all that it read from the store up to a time.
+func (d *Directory) Fed(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.listed || d.table.Table() == nil {
-		return Snapshot{}, false
+	if at.After(d.fedAt) {
+		d.fedAt = at
 	}
-	s = Snapshot{Document: d.document, Evacuated: d.registrar.Evacuated(), Revision: d.revision}
-	for _, e := range d.registrar.All() {
+	if at.After(d.healthyAt) {
+		d.healthyAt = at
+	}
+}
+
+// FedWithin reports whether a peer did so within a time.
+func (d *Directory) FedWithin(now time.Time, within time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.fedAt) < within
+}
+
+// Snapshot returns what a peer has not been told since a mark, and the new
+// mark. The zero Mark asks for everything. It returns false if there is
+// nothing to tell.
+func (d *Directory) Snapshot(m Mark, now time.Time) (s Snapshot, next Mark, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.changes.Load()
+	if !d.listed || d.table.Table() == nil || m.full && m.changes == changes {
+		return s, m, false
+	}
+	s = Snapshot{Full: !m.full, Evacuated: d.registrar.Evacuated(), Revision: d.revision}
+	if d.document.Version != m.version {
+		doc := d.document
+		s.Document = &doc
+	}
+	changed, removed := d.registrar.Since(m.entries)
+	if m.full {
+		s.Removed = removed
+	}
+	for _, e := range changed {
 		u := Upstream{Entry: e}
 		if e.ColdUntil.After(now) {
 			u.ColdFor = e.ColdUntil.Sub(now)
@@ -172,7 +222,7 @@
 		u.ColdUntil = time.Time{}
 		s.Upstreams = append(s.Upstreams, u)
 	}
-	return s, true
+	return s, Mark{version: d.document.Version, entries: d.registrar.Changes(), changes: changes, full: true}, true
 }
 
 // Adopt takes over a peer's snapshot where it is newer than what is known.
@@ -182,14 +232,14 @@
 			err = eris.Wrap(err, "adopt a peer's snapshot")
 		}
 	}()
-	if s.Document.Version > d.table.Version() {
-		if err := d.Configure(s.Document); err != nil {
+	if s.Document != nil && s.Document.Version > d.table.Version() {
+		if err := d.Configure(*s.Document); err != nil {
 			return err
 		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.listed && s.Revision <= d.revision {
+	if d.listed && s.Revision < d.revision {
 		return nil
 	}
 	entries := make([]registrar.Entry, 0, len(s.Upstreams))
@@ -199,7 +249,16 @@
 		}
 		entries = append(entries, u.Entry)
 	}
-	d.registrar.Replace(entries, now)
+	if s.Full {
+		d.registrar.Replace(entries, now)
+	} else {
+		for _, e := range entries {
+			d.registrar.Put(e)
+		}
+		for _, id := range s.Removed {
+			d.registrar.Forget(id)
+		}
+	}
 	for _, domain := range d.registrar.Evacuated() {
 		if !slices.Contains(s.Evacuated, domain) {
 			d.registrar.Evacuate(domain, false)
@@ -208,8 +267,9 @@
 	for _, domain := range s.Evacuated {
 		d.registrar.Evacuate(domain, true)
 	}
-	d.revision, d.listed = s.Revision, true
+	d.revision = s.Revision
+	d.listed = d.listed || s.Full
 	d.changes.Add(1)
-	d.log.Info("directory taken over from a peer", "revision", s.Revision, "upstreams", len(entries))
+	d.log.Info("directory taken over from a peer", "revision", s.Revision, "full", s.Full, "upstreams", len(entries), "removed", len(s.Removed))
 	return nil
 }
--- a/foxtaild/linker/link.go
+++ b/foxtaild/linker/link.go
@@ -11,7 +11,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/coordinator"
 )
 
@@ -40,30 +39,32 @@
 	out     chan frame
 	log     *slog.Logger
 
-	mu        sync.Mutex
-	pending   map[uint64]chan coordinator.Decision
-	snapshots chan directory.Snapshot
-	heard     time.Time
-	broken    chan struct{}
-	err       error
+	// feed takes what the peer tells of its directory.
+	feed func(response)
+
+	mu      sync.Mutex
+	pending map[uint64]chan coordinator.Decision
+	heard   time.Time
+	broken  chan struct{}
+	err     error
 }
 
 // dialLink opens a link, on which a hello must be sent first.
-func dialLink(ctx context.Context, address string, log *slog.Logger) (l *link, err error) {
+func dialLink(ctx context.Context, address string, feed func(response), log *slog.Logger) (l *link, err error) {
 	d := net.Dialer{Timeout: linkDial}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "link to %s", address)
 	}
 	l = &link{
-		address:   address,
-		conn:      conn,
-		out:       make(chan frame, linkFrames),
-		log:       log,
-		pending:   make(map[uint64]chan coordinator.Decision),
-		snapshots: make(chan directory.Snapshot, 1),
-		heard:     time.Now(),
-		broken:    make(chan struct{}),
+		address: address,
+		conn:    conn,
+		out:     make(chan frame, linkFrames),
+		log:     log,
+		pending: make(map[uint64]chan coordinator.Decision),
+		feed:    feed,
+		heard:   time.Now(),
+		broken:  make(chan struct{}),
 	}
 	go l.write()
 	go l.read()
@@ -171,11 +172,8 @@
 			}
 		}
 		l.mu.Unlock()
-		if r.Snapshot != nil {
-			select {
-			case l.snapshots <- *r.Snapshot:
-			default:
-			}
+		if r.Snapshot != nil || r.Current {
+			l.feed(r)
 		}
 	}
 }
@@ -210,16 +208,3 @@
 	}
 	return d, ctx.Err()
 }
-
-// fetch asks for a snapshot.
-func (l *link) fetch(ctx context.Context) (s directory.Snapshot, err error) {
-	l.send(frame{Fetch: true})
-	select {
-	case s = <-l.snapshots:
-		return s, nil
-	case <-l.broken:
-		return s, errLink
-	case <-ctx.Done():
-		return s, ctx.Err()
-	}
-}
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -48,7 +48,9 @@
 	Contacts []string
 	// Regions maps every failure domain to its region.
 	Regions map[string]string
-	Bounds  coordinator.Bounds
+	// NewsBound is the time in which changes of the store must be in force.
+	NewsBound time.Duration
+	Bounds    coordinator.Bounds
 }
 
 // granted is a request that runs by a coordinator's grant.
@@ -66,11 +68,17 @@
 	// coordinators maps failure domains to the address of their coordinator.
 	coordinators map[string]string
 	// self reports whether this host is its domain's coordinator.
-	self    bool
+	self bool
+	// readers are the addresses of the hosts that read the store for this
+	// host's domain.
+	readers []string
 	members []detector.Member
 	hosts   int
 }
 
+// reads reports whether the host at an address reads the store.
+func (v *view) reads(address string) bool { return slices.Contains(v.readers, address) }
+
 // Linker joins a host with its fleet. It is safe for concurrent use.
 type Linker struct {
 	settings  Settings
@@ -85,12 +93,15 @@
 	seq       atomic.Uint64
 	leaving   chan struct{}
 	ctx       context.Context
+	started   time.Time
 
 	mu      sync.Mutex
 	links   map[string]*link
 	failed  map[string]time.Time
 	running map[uint64]*granted
 	local   map[uint64]chan coordinator.Decision
+	// followers are the links that are told of changes.
+	followers map[*follower]struct{}
 }
 
 // New opens the sockets of a host. Run must be called.
@@ -114,13 +125,15 @@
 			ID: s.Host, Address: s.Address, Domain: s.Domain, Region: s.Region,
 			Incarnation: uint64(now.UnixMilli()),
 		}, s.Contacts, uint64(now.UnixNano())),
-		leaving: make(chan struct{}),
-		links:   make(map[string]*link),
-		failed:  make(map[string]time.Time),
-		running: make(map[uint64]*granted),
-		local:   make(map[uint64]chan coordinator.Decision),
-	}
-	l.view.Store(&view{})
+		leaving:   make(chan struct{}),
+		links:     make(map[string]*link),
+		failed:    make(map[string]time.Time),
+		running:   make(map[uint64]*granted),
+		local:     make(map[uint64]chan coordinator.Decision),
+		followers: make(map[*follower]struct{}),
+		started:   now,
+	}
+	l.view.Store(&view{readers: []string{s.Address}})
 	if l.packets, err = net.ListenUDP("udp4", addr); err != nil {
 		return nil, err
 	}
@@ -142,6 +155,8 @@
 	wg.Go(func() { l.serveLinks(ctx) })
 	wg.Go(func() { l.sendSummaries(ctx) })
 	wg.Go(func() { l.fetchSnapshots(ctx) })
+	wg.Go(func() { l.feed(ctx) })
+	wg.Go(func() { l.follow(ctx) })
 	wg.Wait()
 }
 
@@ -185,6 +200,7 @@
 		v.coordinators[domain] = m.Address
 	}
 	v.self = oldest[self.Domain].ID == self.ID
+	v.readers = domainReaders(self.Domain, append(slices.Clone(v.members), self))
 	return v
 }
 
@@ -294,7 +310,7 @@
 		return nil, errLink
 	}
 	l.mu.Unlock()
-	k, err := dialLink(ctx, address, l.log)
+	k, err := dialLink(ctx, address, l.takeFeed, l.log)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -492,21 +508,16 @@
 	return best, ok
 }
 
-// fetch takes over a member's snapshot.
+// fetch asks a member for its snapshot, which comes in by takeFeed.
 func (l *Linker) fetch(ctx context.Context, m detector.Member) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
 	k, err := l.link(ctx, m.Address)
-	var s directory.Snapshot
-	if err == nil {
-		s, err = k.fetch(ctx)
-	}
-	if err == nil {
-		err = l.directory.Adopt(s, time.Now())
-	}
 	if err != nil {
-		l.log.Info("snapshot not taken over", "member", m.ID, "error", err.Error())
+		l.log.Info("snapshot not asked for", "member", m.ID, "error", err.Error())
+		return
 	}
+	k.send(frame{Fetch: true})
 }
 
 // formatUint writes a number.
--- a/foxtaild/linker/messages.go
+++ b/foxtaild/linker/messages.go
@@ -1,6 +1,8 @@
 package linker
 
 import (
+	"time"
+
 	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/coordinator"
 )
@@ -18,6 +20,8 @@
 	Ping bool
 	// Fetch asks for a snapshot of the directory.
 	Fetch bool
+	// Follow asks for a snapshot now and for every change from then on.
+	Follow bool
 }
 
 // hello names the entry and what it runs on the coordinator's upstreams.
@@ -30,4 +34,8 @@
 type response struct {
 	Decisions []coordinator.Decision
 	Snapshot  *directory.Snapshot
+	// Current says that the receiver has been told everything that the sender
+	// read from the store, whose last answer came Age ago.
+	Current bool
+	Age     time.Duration
 }
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/coordinator"
 )
 
@@ -46,6 +47,23 @@
 			cancel()
 		}
 	}
+	f := &follower{push: func(r response) bool {
+		if len(out) > 0 {
+			return false
+		}
+		push(r)
+		return true
+	}}
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.followers, f)
+	}()
+	l.readFrames(ctx, conn, f, push)
+}
+
+// readFrames takes the frames of one link until it ends.
+func (l *Linker) readFrames(ctx context.Context, conn net.Conn, fol *follower, push func(response)) {
 	dec := gob.NewDecoder(bufio.NewReader(conn))
 	entry := ""
 	for {
@@ -65,13 +83,17 @@
 			push(response{})
 		}
 		if f.Fetch {
-			if s, ok := l.directory.Snapshot(time.Now()); ok {
+			if s, _, ok := l.directory.Snapshot(directory.Mark{}, time.Now()); ok {
 				push(response{Snapshot: &s})
 			}
 		}
+		if f.Follow {
+			l.mu.Lock()
+			l.followers[fol] = struct{}{}
+			l.mu.Unlock()
+		}
 		l.desk.take(ctx, entry, &f)
 	}
-	cancel()
 	if entry != "" {
 		l.desk.close(l.ctx, entry)
 	}
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -36,6 +36,8 @@
 type record struct {
 	Entry
 	lapsesAt time.Time
+	// changed is the registrar's count of changes when this entry changed.
+	changed uint64
 }
 
 // Registrar is the directory. It is not safe for concurrent use.
@@ -43,11 +45,17 @@
 	records   map[string]*record
 	evacuated map[string]bool
 	unstable  time.Time
+	changes   uint64
+	// removed holds the count of changes at which an entry was removed.
+	removed map[string]uint64
 }
 
+// maxRemoved bounds the removals that are remembered for Since.
+const maxRemoved = 4096
+
 // New returns an empty directory.
 func New() *Registrar {
-	return &Registrar{records: make(map[string]*record), evacuated: make(map[string]bool)}
+	return &Registrar{records: make(map[string]*record), evacuated: make(map[string]bool), removed: make(map[string]uint64)}
 }
 
 // Unstable says that the store could not be read at a time. Entries that
@@ -61,7 +69,12 @@
 func (r *Registrar) Put(e Entry) (fresh bool) {
 	old := r.records[e.ID]
 	fresh = old == nil || old.Born != e.Born
-	r.records[e.ID] = &record{Entry: e}
+	if old != nil && old.Entry == e && old.lapsesAt.IsZero() {
+		return fresh
+	}
+	r.changes++
+	r.records[e.ID] = &record{Entry: e, changed: r.changes}
+	delete(r.removed, e.ID)
 	return fresh
 }
 
@@ -77,7 +90,39 @@
 		}
 		return
 	}
+	r.Forget(id)
+}
+
+// Forget removes an entry at once.
+func (r *Registrar) Forget(id string) {
+	if r.records[id] == nil {
+		return
+	}
 	delete(r.records, id)
+	r.changes++
+	if len(r.removed) >= maxRemoved {
+		clear(r.removed)
+	}
+	r.removed[id] = r.changes
+}
+
+// Changes counts the changes of entries.
+func (r *Registrar) Changes() uint64 { return r.changes }
+
+// Since returns the entries that changed and those that were removed after a
+// count of changes.
+func (r *Registrar) Since(changes uint64) (changed []Entry, removed []string) {
+	for _, u := range r.records {
+		if u.changed > changes {
+			changed = append(changed, u.Entry)
+		}
+	}
+	for id, at := range r.removed {
+		if at > changes {
+			removed = append(removed, id)
+		}
+	}
+	return changed, removed
 }
 
 // Replace takes in a complete listing: entries that it lacks have vanished.
@@ -137,7 +182,7 @@
 	var list []Entry
 	for id, u := range r.records {
 		if !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
-			delete(r.records, id)
+			r.Forget(id)
 			continue
 		}
 		if r.Usable(id, now) {
@@ -152,12 +197,3 @@
 	})
 	return list
 }
-
-// All returns every entry, leaving ones included, in no particular order.
-func (r *Registrar) All() []Entry {
-	list := make([]Entry, 0, len(r.records))
-	for _, u := range r.records {
-		list = append(list, u.Entry)
-	}
-	return list
-}
