--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -40,7 +40,7 @@
 // nothing reads for itself.
 func (l *Linker) Reads(now time.Time) bool {
 	age := now.Sub(l.started)
-	if age < settleTime && len(l.settings.Contacts) > 0 {
+	if !l.settled(now) {
 		return false
 	}
 	if l.view.Load().reads(l.settings.Address) {
--- /dev/null
+++ b/foxtaild/linker/fleet_test.go
@@ -0,0 +1,91 @@
+package linker
+
+import (
+	"fmt"
+	"testing"
+
+	"foxtaillug.org/scheduler/detector"
+)
+
+// members returns n members of a failure domain with a status.
+func members(domain string, n int, s detector.Status) (list []detector.Member) {
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", domain, i)
+		list = append(list, detector.Member{ID: id, Address: id, Domain: domain, Status: s, Started: uint64(i)})
+	}
+	return list
+}
+
+// concat joins lists of members.
+func concat(lists ...[]detector.Member) (all []detector.Member) {
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	return all
+}
+
+func TestFleetSize(t *testing.T) {
+	s := Settings{Domain: "a", Contacts: []string{"x"}, Regions: map[string]string{"a": "r", "b": "r", "c": "s"}}
+	tests := map[string]struct {
+		members            []detector.Member
+		hosts, heard, ours int
+	}{
+		"nobody heard":           {nil, 12, 1, 1},
+		"all alive":              {concat(members("a", 2, detector.Alive), members("b", 3, detector.Alive), members("c", 3, detector.Alive)), 9, 9, 3},
+		"dead ones still count":  {concat(members("a", 2, detector.Dead), members("b", 3, detector.Dead), members("c", 3, detector.Alive)), 9, 4, 1},
+		"a domain never heard":   {concat(members("a", 2, detector.Alive), members("b", 3, detector.Alive)), 9, 6, 3},
+		"started behind a cut":   {members("a", 2, detector.Alive), 9, 3, 3},
+		"suspects are not given": {concat(members("a", 2, detector.Suspect), members("b", 3, detector.Alive), members("c", 3, detector.Alive)), 9, 9, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			hosts, heard, ours := fleetSize(s, tt.members)
+			if hosts != tt.hosts || heard != tt.heard || ours != tt.ours {
+				t.Errorf("%d hosts, %d heard, %d here; want %d, %d, %d", hosts, heard, ours, tt.hosts, tt.heard, tt.ours)
+			}
+		})
+	}
+}
+
+func TestDomainReadersAreTheOldestLive(t *testing.T) {
+	list := members("a", 4, detector.Alive)
+	list[0].Status = detector.Suspect
+	list[1].Leaving = true
+	list = append(list, members("b", 2, detector.Alive)...)
+	got := domainReaders("a", list)
+	if len(got) != 2 || got[0] != "a-2" || got[1] != "a-3" {
+		t.Errorf("readers %v, want a-2 and a-3", got)
+	}
+}
+
+// TestScopeCoversDomainsWithoutHosts checks that each failure domain's
+// upstreams are granted by exactly one live domain.
+func TestScopeCoversDomainsWithoutHosts(t *testing.T) {
+	regions := map[string]string{"a": "r", "b": "r", "c": "s", "d": "s"}
+	tests := map[string][]string{
+		"all live":           {"a", "b", "c", "d"},
+		"one without":        {"a", "b", "c"},
+		"a region without":   {"a", "b"},
+		"one domain is left": {"d"},
+	}
+	for name, live := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := &view{coordinators: map[string]string{}}
+			for _, d := range live {
+				v.coordinators[d] = d
+			}
+			owners := map[string]int{}
+			for _, d := range live {
+				l := &Linker{settings: Settings{Domain: d, Regions: regions}}
+				for _, s := range l.scope(v) {
+					owners[s]++
+				}
+			}
+			for d := range regions {
+				if owners[d] != 1 {
+					t.Errorf("domain %s is granted by %d of %v", d, owners[d], live)
+				}
+			}
+		})
+	}
+}
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -29,6 +29,9 @@
 	fetchTime = time.Second
 	// storeStale is how long the store may be silent before peers are asked.
 	storeStale = 2500 * time.Millisecond
+	// unknownFleet is the size of fleet that a host assumes which has heard of
+	// no other: the smallest that the operators run, twice over.
+	unknownFleet = 12
 	// quotaSlack widens a part of a quota within the allowed overshoot, so
 	// that a few dead hosts cost nothing.
 	quotaSlack = 1.15
@@ -90,10 +93,14 @@
 	listener  net.Listener
 	view      atomic.Pointer[view]
 	seen      uint64
-	seq       atomic.Uint64
-	leaving   chan struct{}
-	ctx       context.Context
-	started   time.Time
+	// wasSettled reports whether the view was derived after settleTime.
+	wasSettled bool
+	seq        atomic.Uint64
+	leaving    chan struct{}
+	// ctx ends with Run; cancel ends it.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	started time.Time
 
 	mu      sync.Mutex
 	links   map[string]*link
@@ -133,6 +140,8 @@
 		followers: make(map[*follower]struct{}),
 		started:   now,
 	}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.desk.sinks[s.Host] = l.takeLocal
 	l.view.Store(&view{readers: []string{s.Address}})
 	if l.packets, err = net.ListenUDP("udp4", addr); err != nil {
 		return nil, err
@@ -146,9 +155,9 @@
 
 // Run serves until ctx ends.
 func (l *Linker) Run(ctx context.Context) {
-	l.ctx = ctx
+	stop := context.AfterFunc(ctx, l.cancel)
+	defer stop()
 	var wg sync.WaitGroup
-	l.desk.open(ctx, l.settings.Host, l.takeLocal, nil)
 	l.applyFleet(l.view.Load())
 	wg.Go(func() { l.desk.run(ctx) })
 	wg.Go(func() { l.gossip(ctx) })
@@ -169,10 +178,11 @@
 
 // viewFleet derives a new view when membership has changed.
 func (l *Linker) viewFleet() {
-	if c := l.detector.Changes(); c == l.seen && l.seen != 0 {
+	settled := l.settled(time.Now())
+	if c := l.detector.Changes(); c == l.seen && settled == l.wasSettled {
 		return
 	}
-	l.seen = l.detector.Changes()
+	l.seen, l.wasSettled = l.detector.Changes(), settled
 	old := l.view.Load()
 	v := l.derive()
 	l.view.Store(v)
@@ -199,11 +209,17 @@
 	for domain, m := range oldest {
 		v.coordinators[domain] = m.Address
 	}
-	v.self = oldest[self.Domain].ID == self.ID
+	v.self = l.wasSettled && oldest[self.Domain].ID == self.ID
 	v.readers = domainReaders(self.Domain, append(slices.Clone(v.members), self))
 	return v
 }
 
+// settled reports whether this host has listened long enough to know whether
+// it is its domain's first. Until then it coordinates nothing.
+func (l *Linker) settled(now time.Time) bool {
+	return len(l.settings.Contacts) == 0 || now.Sub(l.started) >= settleTime
+}
+
 // older reports whether a process has run longer than another.
 func older(a, b detector.Member) bool {
 	return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.ID, b.ID)) < 0
@@ -239,19 +255,40 @@
 	return scope
 }
 
-// applyFleet tells the coordinator what the view means for it.
-func (l *Linker) applyFleet(v *view) {
-	hosts := max(v.hosts, 1)
-	heard, own := 1, 1
-	for _, m := range v.members {
+// fleetSize estimates how many hosts exist, and counts those that are heard
+// and those of them in this host's failure domain. A failure domain of which
+// no host was ever heard, as after a start behind a partition, counts as large
+// as this host's own; a host that has heard nobody assumes a small fleet.
+func fleetSize(s Settings, members []detector.Member) (hosts, heard, own int) {
+	known := map[string]int{s.Domain: 1}
+	heard, own = 1, 1
+	for _, m := range members {
+		known[m.Domain]++
 		if m.Status >= detector.Dead {
 			continue
 		}
 		heard++
-		if m.Domain == l.settings.Domain {
+		if m.Domain == s.Domain {
 			own++
 		}
 	}
+	if len(members) == 0 && len(s.Contacts) > 0 {
+		known[s.Domain] = max(1, unknownFleet/max(len(s.Regions), 1))
+	}
+	for domain := range s.Regions {
+		if known[domain] == 0 {
+			known[domain] = known[s.Domain]
+		}
+	}
+	for _, n := range known {
+		hosts += n
+	}
+	return hosts, heard, own
+}
+
+// applyFleet tells the coordinator what the view means for it.
+func (l *Linker) applyFleet(v *view) {
+	hosts, heard, own := fleetSize(l.settings, v.members)
 	f := coordinator.Fleet{
 		Hosts: hosts, Domain: l.settings.Domain, Regions: l.settings.Regions,
 		Alone: !v.self, Scope: l.scope(v),
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -83,6 +83,8 @@
 	crashes   map[uint64]int
 	peers     map[string]peer
 	decisions []Decision
+	// order ranks those that wait.
+	order func(a, b *waiter) int
 	// expired is when grants were last looked through for expiry.
 	expired time.Time
 }
@@ -108,6 +110,7 @@
 		crashes:   make(map[uint64]int),
 		peers:     make(map[string]peer),
 		fleet:     Fleet{Hosts: 1},
+		order:     bySlack,
 	}
 }
 
--- /dev/null
+++ b/scheduler/coordinator/coordinator_test.go
@@ -0,0 +1,289 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/registrar"
+	"foxtaillug.org/scheduler/router"
+)
+
+// one returns the only decision of an advance.
+func one(t *testing.T, c *coordinator.Coordinator, now time.Time) coordinator.Decision {
+	t.Helper()
+	d := c.Advance(now)
+	if len(d) != 1 {
+		t.Fatalf("%d decisions, want 1: %+v", len(d), d)
+	}
+	return d[0]
+}
+
+// ask returns a plain ask for an engine.
+func ask(id uint64) coordinator.Ask {
+	return coordinator.Ask{ID: id, Pool: "engines", Prompt: 100, Output: 10, Objective: 600 * time.Millisecond, Left: 5 * time.Second}
+}
+
+// engines sets n engines of the coordinator's domain.
+func engines(c *coordinator.Coordinator, n int, change func(*registrar.Entry)) {
+	var entries []registrar.Entry
+	for i := range n {
+		e := registrar.Entry{ID: fmt.Sprint("engine-", i), Pool: "engines", Domain: "d", Slots: 6}
+		if change != nil {
+			change(&e)
+		}
+		entries = append(entries, e)
+	}
+	c.SetUpstreams(entries, start)
+}
+
+func TestSlotsAreNotExceeded(t *testing.T) {
+	c := newCoordinator()
+	engines(c, 1, nil)
+	for id := range uint64(10) {
+		c.Ask("entry", ask(id), start)
+	}
+	if got := c.Advance(start); len(got) != 6 {
+		t.Fatalf("%d granted, want the 6 slots", len(got))
+	}
+	c.Finish("entry", coordinator.Finish{ID: 0}, start)
+	if got := one(t, c, start); got.Upstream != "engine-0" {
+		t.Errorf("the free slot went to nobody: %+v", got)
+	}
+}
+
+// TestAdoptedRequestsEnd is the case in which an entry changed its
+// coordinator: what it ran was counted by the new one and never ended.
+func TestAdoptedRequestsEnd(t *testing.T) {
+	tests := map[string]func(c *coordinator.Coordinator) time.Time{
+		"by its end": func(c *coordinator.Coordinator) time.Time {
+			c.Finish("entry", coordinator.Finish{ID: 1}, start)
+			return start
+		},
+		"by the link's end": func(c *coordinator.Coordinator) time.Time {
+			c.Drop("entry")
+			return start
+		},
+		"by its caller's patience": func(c *coordinator.Coordinator) time.Time {
+			now := start.Add(7 * time.Second)
+			c.Advance(now)
+			return now
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCoordinator()
+			engines(c, 1, nil)
+			c.Adopt("entry", []coordinator.Running{{ID: 1, Upstream: "engine-0", Left: 5 * time.Second}}, start)
+			if got := c.Summary(start).Free["engines"]; got != 5 {
+				t.Fatalf("%d slots free beside an adopted request, want 5", got)
+			}
+			now := end(c)
+			if got := c.Summary(now).Free["engines"]; got != 6 {
+				t.Errorf("%d slots free after its end, want 6", got)
+			}
+		})
+	}
+}
+
+// TestColdUpstreams counts what a cold upstream gets in any second from a
+// coordinator, from a second one that believes to be in charge too, and from
+// all hosts that decide alone.
+func TestColdUpstreams(t *testing.T) {
+	const perSecond, factor, allowance, hosts = 13.0, 1.5, 5.0, 12
+	var sent []time.Time
+	flood := func(c *coordinator.Coordinator) {
+		engines(c, 1, func(e *registrar.Entry) { e.ColdUntil = start.Add(time.Hour) })
+		id := uint64(0)
+		for ms := 0; ms < 5000; ms += 5 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			id++
+			c.Ask("entry", ask(id), now)
+			for _, d := range c.Advance(now) {
+				if d.Upstream != "" {
+					sent = append(sent, now)
+					c.Finish("entry", coordinator.Finish{ID: d.ID}, now)
+				}
+			}
+		}
+	}
+	flood(newCoordinator())
+	flood(newCoordinator())
+	if len(sent) < 2*5 {
+		t.Errorf("%d requests in 5 s: a cold upstream gets too little to become warm", len(sent))
+	}
+	for range hosts {
+		c := newCoordinator()
+		c.SetFleet(coordinator.Fleet{Hosts: hosts, Share: 1. / hosts, QuotaPart: 1, Domain: "d", Scope: []string{"d"}, Alone: true}, start)
+		flood(c)
+	}
+	for _, from := range sent {
+		n := 0
+		for _, at := range sent {
+			if !at.Before(from) && at.Before(from.Add(time.Second)) {
+				n++
+			}
+		}
+		if bound := perSecond*factor + allowance; float64(n) > bound {
+			t.Fatalf("%d requests within a second of %v, at most %.1f", n, from.Sub(start), bound)
+		}
+	}
+}
+
+// TestRetryBudget lets every domain of a fleet retry as often as it can and
+// counts the retries in any window.
+func TestRetryBudget(t *testing.T) {
+	const (
+		domains, ratio, allowance = 3, 0.2, 58.0
+		window                    = 10 * time.Second
+		perSecond                 = 20
+	)
+	var retries []time.Time
+	for range domains {
+		c := newCoordinator()
+		c.SetFleet(coordinator.Fleet{Hosts: 9, Share: 1. / domains, QuotaPart: 1, Domain: "d", Scope: []string{"d"}}, start)
+		engines(c, 20, nil)
+		id := uint64(0)
+		for ms := 0; ms < 40_000; ms += 1000 / perSecond {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for range 4 {
+				a := ask(id)
+				a.Repeat = id%4 != 0
+				id++
+				c.Ask("entry", a, now)
+				for _, d := range c.Advance(now) {
+					if d.Upstream != "" && a.Repeat {
+						retries = append(retries, now)
+					}
+					c.Finish("entry", coordinator.Finish{ID: d.ID}, now)
+				}
+			}
+		}
+	}
+	bound := ratio*perSecond*domains*window.Seconds() + allowance
+	for _, from := range retries {
+		n := 0
+		for _, at := range retries {
+			if !at.Before(from) && at.Before(from.Add(window)) {
+				n++
+			}
+		}
+		if float64(n) > bound {
+			t.Fatalf("%d retries within 10 s of %v, at most %.0f", n, from.Sub(start), bound)
+		}
+	}
+	if len(retries) == 0 {
+		t.Error("no retry was allowed at all")
+	}
+}
+
+func TestRequestsThatCrashUpstreamsAreRefused(t *testing.T) {
+	c := newCoordinator()
+	engines(c, 1, nil)
+	now := start
+	for id := uint64(1); ; id++ {
+		a := ask(id)
+		a.Digest = 7
+		c.Ask("entry", a, now)
+		d := one(t, c, now)
+		if d.Reason == coordinator.Quarantined {
+			if id > 4 {
+				t.Errorf("refused after %d crashes, want after 3 at most", id-1)
+			}
+			return
+		}
+		if id > 10 {
+			t.Fatal("never refused")
+		}
+		c.Finish("entry", coordinator.Finish{ID: id, Ending: coordinator.Broken}, now)
+		probe := ask(100 + id)
+		c.Ask("entry", probe, now)
+		one(t, c, now)
+		c.Finish("entry", coordinator.Finish{ID: probe.ID, Ending: coordinator.Unreached}, now)
+		now = now.Add(5 * time.Second)
+	}
+}
+
+// TestLostAnswersConvictNobody breaks answers of an upstream that lives on: no
+// request may be refused for it.
+func TestLostAnswersConvictNobody(t *testing.T) {
+	c := newCoordinator()
+	engines(c, 1, nil)
+	for id := range uint64(20) {
+		now := start.Add(time.Duration(id) * time.Second)
+		a := ask(id)
+		a.Digest = 7
+		c.Ask("entry", a, now)
+		if d := one(t, c, now); d.Upstream == "" {
+			t.Fatalf("refused after %d lost answers: %+v", id, d)
+		}
+		c.Finish("entry", coordinator.Finish{ID: id, Ending: coordinator.Broken}, now)
+	}
+}
+
+func TestRedirects(t *testing.T) {
+	far := map[string]string{"d": "r", "near": "r", "far": "s"}
+	tests := map[string]struct {
+		free    map[string]int
+		regions []string
+		age     time.Duration
+		want    string
+	}{
+		"nearest first":           {map[string]int{"near": 1, "far": 9}, nil, 0, "near"},
+		"far if near has no room": {map[string]int{"near": 0, "far": 9}, nil, 0, "far"},
+		"nowhere":                 {map[string]int{"near": 0, "far": -3}, nil, 0, ""},
+		"only where it may run":   {map[string]int{"far": 9}, []string{"r"}, 0, ""},
+		"not on old news":         {map[string]int{"near": 5}, nil, 3 * time.Second, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCoordinator()
+			c.SetFleet(coordinator.Fleet{Hosts: 3, Share: 1, QuotaPart: 1, Domain: "d", Scope: []string{"d"}, Regions: far}, start)
+			for domain, free := range tt.free {
+				c.Heard(coordinator.Summary{Process: domain, Domain: domain, Free: map[string]int{"engines": free}}, start)
+			}
+			a := ask(1)
+			a.Regions = tt.regions
+			now := start.Add(tt.age)
+			c.Ask("entry", a, now)
+			got := ""
+			for _, d := range c.Advance(now) {
+				got = d.Domain
+			}
+			if got != tt.want {
+				t.Errorf("redirected to %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestQuotaRefusesAndRefunds(t *testing.T) {
+	c := newCoordinator()
+	table, err := router.NewTable(router.Document{
+		Version: 2, Pools: []router.Pool{{Name: "engines"}},
+		Workspaces: []router.Workspace{{Name: "crews", Rate: 100, Burst: 1000}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetTable(table, start)
+	engines(c, 1, nil)
+	send := func(id uint64) coordinator.Decision {
+		a := ask(id)
+		a.Workspace, a.Cost = "crews", 400
+		c.Ask("entry", a, start)
+		return one(t, c, start)
+	}
+	if d := send(1); d.Upstream == "" {
+		t.Fatalf("refused within the quota: %+v", d)
+	}
+	d := send(2)
+	if d.Reason != coordinator.OverQuota || d.RetryAfter < time.Second {
+		t.Errorf("%+v, want a refusal over the quota until it accrues", d)
+	}
+	c.Finish("entry", coordinator.Finish{ID: 1, Ending: coordinator.Unused}, start)
+	if d := send(3); d.Upstream == "" {
+		t.Errorf("the cost of a request that did not run is not there again: %+v", d)
+	}
+}
--- /dev/null
+++ b/scheduler/coordinator/export_test.go
@@ -0,0 +1,9 @@
+package coordinator
+
+import "cmp"
+
+// OrderByTierOnly switches the order by slack off: within a tier the longest
+// waiting go first.
+func (c *Coordinator) OrderByTierOnly() {
+	c.order = func(a, b *waiter) int { return cmp.Compare(a.Tier, b.Tier) }
+}
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -58,8 +58,9 @@
 	return &upstream{Entry: e, running: make(map[key]*grant), speed: estimator.New()}
 }
 
-// tuneCold gives an upstream's cold start its rate: the coordinator's part of
-// what the upstream bears, or one host's part where hosts decide alone.
+// tuneCold gives an upstream's cold start its rate: a part of what the
+// upstream bears. A host that decides for itself alone sends nothing to a cold
+// upstream, as any number of hosts may do so at once.
 func (c *Coordinator) tuneCold(u *upstream, now time.Time) {
 	p := c.pools[u.Pool]
 	if p == nil || p.ColdRate <= 0 {
@@ -70,13 +71,10 @@
 	size := float64(coldBurst)
 	rate := max(bound*coldMargin-size, 0)
 	if c.fleet.Alone {
-		rate = (bound*(1-2*coldMargin) - size) / float64(max(c.fleet.Hosts, 1))
-		if rate <= 0 {
-			rate, size = 0, 0
-		}
+		rate, size = 0, 0
 	}
 	if u.cold == nil {
-		u.cold = limiter.NewBucket(rate, size, size, now)
+		u.cold = limiter.NewBucket(rate, size, 0, now)
 		return
 	}
 	u.cold.Tune(rate, size, now)
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -105,11 +105,11 @@
 	p.waiting = kept
 }
 
-// order ranks those that wait: by tier, then those that can still meet their
+// bySlack ranks those that wait: by tier, then those that can still meet their
 // objective, then by the time left to meet it. Without the second step a
 // burst would make every request late: the longest waiting go first, and each
 // is served just after its objective.
-func (c *Coordinator) order(a, b *waiter) int {
+func bySlack(a, b *waiter) int {
 	if a.Tier != b.Tier {
 		return cmp.Compare(a.Tier, b.Tier)
 	}
--- /dev/null
+++ b/scheduler/coordinator/replay_test.go
@@ -0,0 +1,279 @@
+package coordinator_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/registrar"
+	"foxtaillug.org/scheduler/router"
+)
+
+// kind is a kind of request of the replayed load.
+type kind struct {
+	tier           int
+	perSecond      float64
+	prompt, output float64
+	objective      time.Duration
+	deadline       time.Duration
+}
+
+// kinds are three tiers like those of the two users: long prompts that are
+// urgent, middling ones, and long streams of little standing.
+var kinds = []kind{
+	{0, 9, 2890, 52, 600 * time.Millisecond, 5 * time.Second},
+	{1, 10, 1800, 24, 500 * time.Millisecond, 3 * time.Second},
+	{2, 7, 543, 280, 400 * time.Millisecond, 15 * time.Second},
+}
+
+// engine is an engine of the replay: a prompt is read at a time, tokens are
+// generated at a fixed step whatever runs beside.
+type engine struct {
+	id       string
+	slowness float64
+	readFree time.Time
+	down     func(at time.Duration) bool
+}
+
+// start sends a request at a time and returns when its first event and its
+// end come.
+func (e *engine) start(prompt, output int, now time.Time) (first, end time.Time) {
+	read := time.Duration(e.slowness * float64(prompt) * 20e3)
+	from := now
+	if e.readFree.After(now) {
+		from = e.readFree
+	}
+	e.readFree = from.Add(read)
+	first = e.readFree.Add(time.Duration(e.slowness * 50e6))
+	return first, first.Add(time.Duration(e.slowness * float64(output) * 5e6))
+}
+
+// pattern is a load to be replayed.
+type pattern struct {
+	// rate multiplies the arrivals at a time.
+	rate func(at time.Duration) float64
+	// down tells whether an engine is down at a time.
+	down func(n int, at time.Duration) bool
+}
+
+// event is something that happens in the replay.
+type event struct {
+	at time.Time
+	do func(now time.Time)
+	n  int
+}
+
+// events is a heap of events by time.
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].n < h[j].n
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// replay is one run of a pattern against a coordinator.
+type replay struct {
+	c       *coordinator.Coordinator
+	engines map[string]*engine
+	heap    events
+	n       int
+	asks    map[uint64]replayed
+	// inTime, late and refused count requests by tier.
+	asked, inTime, late, refused [3]int
+}
+
+// replayed is a request of the replay.
+type replayed struct {
+	kind
+	prompt, output int
+	at             time.Time
+}
+
+// run replays a pattern for a time on four engines of one failure domain, of
+// which two are slow.
+func run(p pattern, seed uint64, length time.Duration, options ...func(*coordinator.Coordinator)) *replay {
+	r := &replay{c: newCoordinator(), engines: map[string]*engine{}, asks: map[uint64]replayed{}}
+	for _, o := range options {
+		o(r.c)
+	}
+	var entries []registrar.Entry
+	for i, slowness := range []float64{0.6, 0.6, 1.7, 1.7} {
+		e := &engine{id: fmt.Sprint("engine-", i), slowness: slowness, down: func(time.Duration) bool { return false }}
+		if p.down != nil {
+			e.down = func(at time.Duration) bool { return p.down(i, at) }
+		}
+		r.engines[e.id] = e
+		entries = append(entries, registrar.Entry{ID: e.id, Pool: "engines", Domain: "d", Slots: 6})
+	}
+	r.c.SetUpstreams(entries, start)
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	for _, k := range kinds {
+		for at := time.Duration(0); at < length; {
+			at += time.Duration(rnd.ExpFloat64() / (k.perSecond * p.rate(at)) * float64(time.Second))
+			x := replayed{
+				kind:   k,
+				prompt: int(k.prompt * math.Exp(rnd.NormFloat64()*0.8-0.32)),
+				output: int(k.output*math.Exp(rnd.NormFloat64()-0.5)) + 4,
+				at:     start.Add(at),
+			}
+			r.schedule(x.at, func(now time.Time) { r.ask(x, now) })
+		}
+	}
+	for at := time.Duration(0); at < length+15*time.Second; at += 20 * time.Millisecond {
+		r.schedule(start.Add(at), func(time.Time) {})
+	}
+	for len(r.heap) > 0 {
+		e := heap.Pop(&r.heap).(event)
+		e.do(e.at)
+		r.take(r.c.Advance(e.at), e.at)
+	}
+	return r
+}
+
+// schedule adds an event.
+func (r *replay) schedule(at time.Time, do func(time.Time)) {
+	r.n++
+	heap.Push(&r.heap, event{at: at, do: do, n: r.n})
+}
+
+// ask sends a request to the coordinator.
+func (r *replay) ask(x replayed, now time.Time) {
+	id := uint64(len(r.asks) + 1)
+	r.asks[id] = x
+	r.asked[x.tier]++
+	r.c.Ask("entry", coordinator.Ask{
+		ID: id, Pool: "engines", Tier: x.tier, Objective: x.objective, Left: x.deadline,
+		Prompt: x.prompt, Output: x.output,
+	}, now)
+}
+
+// take carries decisions out.
+func (r *replay) take(decisions []coordinator.Decision, now time.Time) {
+	for _, d := range decisions {
+		x := r.asks[d.ID]
+		if d.Upstream == "" {
+			r.refused[x.tier]++
+			continue
+		}
+		e := r.engines[d.Upstream]
+		if e.down(now.Sub(start)) {
+			r.schedule(now.Add(time.Millisecond), func(now time.Time) {
+				r.c.Finish("entry", coordinator.Finish{ID: d.ID, Ending: coordinator.Unreached}, now)
+				r.c.Ask("entry", coordinator.Ask{
+					ID: d.ID, Pool: "engines", Tier: x.tier, Objective: x.objective, Age: now.Sub(x.at), Left: x.deadline - now.Sub(x.at),
+					Prompt: x.prompt, Output: x.output, Exclude: []string{d.Upstream},
+				}, now)
+			})
+			continue
+		}
+		first, end := e.start(x.prompt, x.output, now)
+		if first.Sub(x.at) <= x.objective {
+			r.inTime[x.tier]++
+		} else {
+			r.late[x.tier]++
+		}
+		r.schedule(first, func(time.Time) {
+			r.c.Progress("entry", coordinator.Progress{ID: d.ID, FirstToken: first.Sub(now)})
+		})
+		r.schedule(end, func(at time.Time) {
+			r.c.Finish("entry", coordinator.Finish{
+				ID: d.ID, Ending: coordinator.Complete, FirstToken: first.Sub(now),
+				Generating: end.Sub(first), Tokens: x.output, Total: end.Sub(now),
+			}, at)
+		})
+	}
+}
+
+// part returns the part of a tier's requests that met their objective.
+func (r *replay) part(tier int) float64 {
+	return float64(r.inTime[tier]) / float64(r.asked[tier])
+}
+
+// newCoordinator returns a coordinator of one failure domain.
+func newCoordinator() *coordinator.Coordinator {
+	c := coordinator.New("process", coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 58, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdAllowance: 5})
+	t, err := router.NewTable(router.Document{Version: 1, Pools: []router.Pool{{Name: "engines", Engine: true, ColdRate: 13}}})
+	if err != nil {
+		panic(err)
+	}
+	c.SetTable(t, start)
+	c.SetFleet(coordinator.Fleet{Hosts: 1, Share: 1, QuotaPart: 1, Domain: "d", Scope: []string{"d"}, Regions: map[string]string{"d": "r"}}, start)
+	return c
+}
+
+var start = time.Unix(1000, 0)
+
+// between returns a rate that is high between two times and 1 otherwise.
+func between(from, to time.Duration, high float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return high
+		}
+		return 1
+	}
+}
+
+// TestHighestTierMeetsItsObjective replays loads under which the highest tier
+// must not suffer, as long as the lower ones can yield.
+func TestHighestTierMeetsItsObjective(t *testing.T) {
+	const target = 0.9
+	tests := map[string]pattern{
+		"base load":         {rate: between(0, 0, 1)},
+		"burst of 1.5":      {rate: between(5*time.Second, 8*time.Second, 1.5)},
+		"burst of 2":        {rate: between(5*time.Second, 8*time.Second, 2)},
+		"one engine down":   {rate: between(0, 0, 1), down: func(n int, at time.Duration) bool { return n == 3 && at > 5*time.Second && at < 9*time.Second }},
+		"burst while it is": {rate: between(5*time.Second, 7*time.Second, 1.5), down: func(n int, at time.Duration) bool { return n == 2 && at > 5*time.Second && at < 9*time.Second }},
+	}
+	for name, p := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := run(p, 1, 20*time.Second)
+			if got := r.part(0); got < target {
+				t.Errorf("%.3f of the highest tier in time, want %.2f (asked %v, in time %v, late %v, refused %v)", got, target, r.asked, r.inTime, r.late, r.refused)
+			}
+		})
+	}
+}
+
+// TestOrderBySlack replays a burst twice, with and without the order by slack
+// within a tier. Without it the longest waiting are served first, each just
+// too late, and the whole tier misses its objective.
+func TestOrderBySlack(t *testing.T) {
+	p := pattern{rate: between(4*time.Second, 9*time.Second, 2.6)}
+	with, without := 0, 0
+	for seed := range uint64(8) {
+		on := run(p, seed, 14*time.Second)
+		off := run(p, seed, 14*time.Second, (*coordinator.Coordinator).OrderByTierOnly)
+		with += on.inTime[1]
+		without += off.inTime[1]
+	}
+	t.Logf("middle tier in time: %d with the order by slack, %d without", with, without)
+	if with <= without {
+		t.Errorf("%d in time with the order by slack, %d without", with, without)
+	}
+}
+
+// TestAllAreAnswered checks that every request gets exactly one end, whatever
+// the load.
+func TestAllAreAnswered(t *testing.T) {
+	r := run(pattern{rate: between(2*time.Second, 6*time.Second, 4)}, 3, 10*time.Second)
+	for tier := range r.asked {
+		if got := r.inTime[tier] + r.late[tier] + r.refused[tier]; got != r.asked[tier] {
+			t.Errorf("tier %d: %d ends of %d requests", tier, got, r.asked[tier])
+		}
+	}
+	if s := r.c.Summary(start.Add(time.Minute)); s.Free["engines"] != 24 {
+		t.Errorf("%d slots are free in the end, want all 24", s.Free["engines"])
+	}
+}
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,8 +29,11 @@
 	// spread is how often a change is passed on by one host.
 	spread = 8
 	// fresh and sample are the numbers of changed and of random members that
-	// travel with one message.
-	fresh, sample = 12, 2
+	// travel with one message; youngSample goes with the messages of a host
+	// that has just started, as many others may have started with it.
+	fresh, sample, youngSample = 12, 2, 16
+	// youngTime is how long a host counts as just started.
+	youngTime = 8 * time.Second
 )
 
 // Status is what is believed of a member.
@@ -114,18 +118,18 @@
 // Detector is one host's view of the fleet. It is not safe for concurrent
 // use.
 type Detector struct {
-	self     Member
-	contacts []string
-	rand     *rand.Rand
-	members  map[string]*entry
-	probes   map[uint64]probe
-	relays   map[uint64]relay
-	order    []string
-	seq      uint64
-	lastTick time.Time
-	nextPing time.Time
-	nextHeal time.Time
-	changes  uint64
+	self                Member
+	contacts            []string
+	rand                *rand.Rand
+	members             map[string]*entry
+	probes              map[uint64]probe
+	relays              map[uint64]relay
+	order               []string
+	seq                 uint64
+	firstTick, lastTick time.Time
+	nextPing            time.Time
+	nextHeal            time.Time
+	changes             uint64
 }
 
 // New returns a detector that knows only itself and the addresses of some
@@ -187,6 +191,9 @@
 
 // Tick lets time pass and returns the messages to be sent.
 func (d *Detector) Tick(now time.Time) (packets []Packet) {
+	if d.firstTick.IsZero() {
+		d.firstTick = now
+	}
 	if !d.lastTick.IsZero() && now.Sub(d.lastTick) > wakeGap {
 		clear(d.probes)
 		for _, e := range d.members {
@@ -357,7 +364,11 @@
 			list = append(list, e.Member)
 		}
 	}
-	for _, id := range ids[:min(sample, len(ids))] {
+	n := sample
+	if d.lastTick.Sub(d.firstTick) < youngTime {
+		n = youngSample
+	}
+	for _, id := range ids[:min(n, len(ids))] {
 		list = append(list, d.members[id].Member)
 	}
 	return list
@@ -377,7 +388,7 @@
 	case Ping:
 		ack := Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: d.piggyback()}
 		if !known {
-			ack.Members = d.some()
+			ack.Members = d.some(m.From.Domain)
 		}
 		if e := d.members[m.From.ID]; e != nil && e.Status != Alive {
 			ack.Members = append(ack.Members, e.Member)
@@ -398,17 +409,29 @@
 }
 
 // introduction is the number of members told to a host that joins.
-const introduction = 16
+const introduction = 40
 
-// some returns random members for a host that joins.
-func (d *Detector) some() (list []Member) {
+// some returns members for a host that joins: those of its own failure domain
+// first, then random ones.
+func (d *Detector) some(domain string) (list []Member) {
 	ids := d.shuffled()
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Compare(distance(d.members[a], domain), distance(d.members[b], domain))
+	})
 	for _, id := range ids[:min(introduction, len(ids))] {
 		list = append(list, d.members[id].Member)
 	}
 	return list
 }
 
+// distance is 0 for a member of a failure domain and 1 for any other.
+func distance(e *entry, domain string) int {
+	if e.Domain == domain {
+		return 0
+	}
+	return 1
+}
+
 // merge takes in what a message says of a member. A record that comes from
 // the member itself proves that it is alive.
 func (d *Detector) merge(m Member, now time.Time, direct bool) {
--- /dev/null
+++ b/scheduler/detector/detector_test.go
@@ -0,0 +1,285 @@
+package detector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"foxtaillug.org/scheduler/detector"
+)
+
+var start = time.Unix(1000, 0)
+
+// tick is the time between two ticks of a host.
+const tick = 60 * time.Millisecond
+
+// node is a host of the simulated fleet.
+type node struct {
+	*detector.Detector
+	address string
+	domain  string
+	running bool
+}
+
+// flight is a packet on its way.
+type flight struct {
+	from string
+	detector.Packet
+}
+
+// fleet is a simulated network of hosts.
+type fleet struct {
+	now   time.Time
+	nodes []*node
+	rand  *rand.Rand
+	// cut reports whether packets between two hosts are lost.
+	cut func(a, b *node) bool
+	// loss is the part of packets that are lost.
+	loss  float64
+	sent  int
+	clock uint64
+}
+
+// newFleet returns n hosts in three failure domains, all just started, that
+// know the first three at most.
+func newFleet(n int) *fleet {
+	f := &fleet{now: start, rand: rand.New(rand.NewPCG(1, 2)), clock: 1000}
+	for i := range n {
+		f.nodes = append(f.nodes, &node{address: fmt.Sprintf("10.0.0.%d:7", i), domain: fmt.Sprint("d", i%3)})
+	}
+	for i := range f.nodes {
+		f.boot(i)
+	}
+	return f
+}
+
+// boot starts a host's process anew.
+func (f *fleet) boot(i int) {
+	f.clock++
+	n := f.nodes[i]
+	var contacts []string
+	for _, c := range f.nodes[:min(3, len(f.nodes))] {
+		contacts = append(contacts, c.address)
+	}
+	n.Detector = detector.New(detector.Member{
+		ID: n.address, Address: n.address, Domain: n.domain, Incarnation: f.clock,
+	}, contacts, uint64(i)+f.clock)
+	n.running = true
+}
+
+// run lets time pass.
+func (f *fleet) run(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); f.now = f.now.Add(tick) {
+		var air []flight
+		for _, n := range f.nodes {
+			if n.running {
+				for _, p := range n.Tick(f.now) {
+					air = append(air, flight{n.address, p})
+				}
+			}
+		}
+		for len(air) > 0 {
+			x := air[0]
+			air = air[1:]
+			f.sent++
+			from, to := f.node(x.from), f.node(x.To)
+			if to == nil || !to.running || f.cut != nil && f.cut(from, to) || f.rand.Float64() < f.loss {
+				continue
+			}
+			for _, p := range to.Receive(x.from, x.Message, f.now) {
+				air = append(air, flight{to.address, p})
+			}
+		}
+	}
+}
+
+// node returns the host at an address.
+func (f *fleet) node(address string) *node {
+	for _, n := range f.nodes {
+		if n.address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+// alive returns how many others a host believes alive.
+func alive(n *node) (count int) {
+	for _, m := range n.Members() {
+		if m.Status == detector.Alive {
+			count++
+		}
+	}
+	return count
+}
+
+// believes returns what a host believes of another.
+func believes(n, of *node) detector.Status {
+	for _, m := range n.Members() {
+		if m.ID == of.address {
+			return m.Status
+		}
+	}
+	return detector.Dead
+}
+
+func TestAllFindEachOther(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		// down are hosts that don't run, among them contacts.
+		down []int
+		loss float64
+		in   time.Duration
+	}{
+		"nine hosts":            {9, nil, 0, time.Second},
+		"two contacts are down": {9, []int{0, 1}, 0, 2 * time.Second},
+		"lossy links":           {9, nil, 0.05, 2 * time.Second},
+		// The grown sites' traffic starts 14 s after the hosts.
+		"eighty-nine hosts": {89, nil, 0, 10 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(tt.hosts)
+			f.loss = tt.loss
+			for _, i := range tt.down {
+				f.nodes[i].running = false
+			}
+			f.run(tt.in)
+			want := tt.hosts - len(tt.down) - 1
+			for _, n := range f.nodes {
+				if n.running && alive(n) < want {
+					t.Errorf("%s knows %d of %d", n.address, alive(n), want)
+				}
+			}
+		})
+	}
+}
+
+func TestDeadHostsAreNoticedAndComeBack(t *testing.T) {
+	f := newFleet(9)
+	f.run(2 * time.Second)
+	f.nodes[4].running = false
+	f.run(2500 * time.Millisecond)
+	for i, n := range f.nodes {
+		if i != 4 && believes(n, f.nodes[4]) != detector.Dead {
+			t.Errorf("%s believes %v of a dead host", n.address, believes(n, f.nodes[4]))
+		}
+	}
+	f.boot(4)
+	f.run(1500 * time.Millisecond)
+	for i, n := range f.nodes {
+		if i != 4 && believes(n, f.nodes[4]) != detector.Alive {
+			t.Errorf("%s believes %v of a host that is back", n.address, believes(n, f.nodes[4]))
+		}
+	}
+}
+
+// TestLossyLinksKillNobody runs a fleet with lossy links for a while.
+func TestLossyLinksKillNobody(t *testing.T) {
+	f := newFleet(9)
+	f.loss = 0.05
+	f.run(3 * time.Second)
+	for range 100 {
+		f.run(300 * time.Millisecond)
+		for _, n := range f.nodes {
+			for _, m := range n.Members() {
+				if m.Status == detector.Dead {
+					t.Fatalf("%s believes that %s is dead", n.address, m.ID)
+				}
+			}
+		}
+	}
+}
+
+func TestPartitionsHeal(t *testing.T) {
+	f := newFleet(9)
+	f.run(2 * time.Second)
+	f.cut = func(a, b *node) bool { return (a.domain == "d2") != (b.domain == "d2") }
+	f.run(4 * time.Second)
+	for _, n := range f.nodes {
+		want := 5
+		if n.domain == "d2" {
+			want = 2
+		}
+		if alive(n) != want {
+			t.Errorf("%s believes %d alive behind the cut, want %d", n.address, alive(n), want)
+		}
+	}
+	f.cut = nil
+	f.run(6 * time.Second)
+	for _, n := range f.nodes {
+		if alive(n) != 8 {
+			t.Errorf("%s believes %d alive after the cut, want 8", n.address, alive(n))
+		}
+	}
+}
+
+// TestPausedHostBlamesNobody stops a host for a while: when it wakes it must
+// not declare others dead for its own silence, and it is alive again soon.
+func TestPausedHostBlamesNobody(t *testing.T) {
+	f := newFleet(9)
+	f.run(2 * time.Second)
+	paused := f.nodes[5]
+	paused.running = false
+	f.run(5 * time.Second)
+	paused.running = true
+	f.run(2 * tick)
+	if got := alive(paused); got != 8 {
+		t.Errorf("the host that woke believes %d alive, want 8", got)
+	}
+	f.run(2 * time.Second)
+	for _, n := range f.nodes {
+		if alive(n) != 8 {
+			t.Errorf("%s believes %d alive, want 8", n.address, alive(n))
+		}
+	}
+}
+
+// TestClockBehindAfterRestart starts a host again with a lower incarnation
+// than its predecessor's, as after a step of the clock.
+func TestClockBehindAfterRestart(t *testing.T) {
+	f := newFleet(9)
+	f.run(2 * time.Second)
+	f.nodes[3].running = false
+	f.run(3 * time.Second)
+	f.clock = 10
+	f.boot(3)
+	f.run(4 * time.Second)
+	for i, n := range f.nodes {
+		if i != 3 && believes(n, f.nodes[3]) != detector.Alive {
+			t.Errorf("%s believes %v of the host", n.address, believes(n, f.nodes[3]))
+		}
+	}
+}
+
+func TestLeavingIsKnownSoon(t *testing.T) {
+	f := newFleet(9)
+	f.run(2 * time.Second)
+	for _, p := range f.nodes[7].Leave(f.now) {
+		f.node(p.To).Receive(f.nodes[7].address, p.Message, f.now)
+	}
+	f.run(900 * time.Millisecond)
+	for i, n := range f.nodes {
+		for _, m := range n.Members() {
+			if i != 7 && m.ID == f.nodes[7].address && !m.Leaving {
+				t.Errorf("%s does not know", n.address)
+			}
+		}
+	}
+}
+
+// TestLoadDoesNotGrowWithTheFleet compares packets for each host.
+func TestLoadDoesNotGrowWithTheFleet(t *testing.T) {
+	each := func(hosts int) float64 {
+		f := newFleet(hosts)
+		f.run(5 * time.Second)
+		f.sent = 0
+		f.run(10 * time.Second)
+		return float64(f.sent) / float64(hosts) / 10
+	}
+	small, large := each(9), each(120)
+	if large > 1.3*small {
+		t.Errorf("%.1f packets a second with 9 hosts, %.1f with 120", small, large)
+	}
+}
--- /dev/null
+++ b/scheduler/limiter/limiter_test.go
@@ -0,0 +1,136 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"foxtaillug.org/scheduler/limiter"
+)
+
+var start = time.Unix(1000, 0)
+
+func ExampleBucket() {
+	b := limiter.NewBucket(2, 2, 2, start)
+	fmt.Println(b.Take(1, start), b.Take(1, start), b.Take(1, start))
+	fmt.Println(b.Take(1, start.Add(500*time.Millisecond)))
+	// Output:
+	// true true false
+	// true
+}
+
+// TestBucketWindow checks that no window admits more than the size and what
+// accrues in it.
+func TestBucketWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.1, 50).Draw(t, "rate")
+		size := rapid.Float64Range(1, 20).Draw(t, "size")
+		b := limiter.NewBucket(rate, size, size, start)
+		now := start
+		var taken []time.Time
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gapMs")) * time.Millisecond)
+			if b.Take(1, now) {
+				taken = append(taken, now)
+			}
+		}
+		for i, from := range taken {
+			for n, to := range taken[i:] {
+				if most := size + rate*to.Sub(from).Seconds() + 1e-6; float64(n+1) > most {
+					t.Fatalf("%d in %v, at most %.2f", n+1, to.Sub(from), most)
+				}
+			}
+		}
+	})
+}
+
+// TestQuotaOverHosts lets hosts that hear each other late admit a workspace
+// that asks for many times its quota, and checks the sum over all hosts.
+func TestQuotaOverHosts(t *testing.T) {
+	const (
+		hosts, rate, burst, cost = 6, 100_000.0, 100_000.0, 3000.0
+		overshoot, allowance     = 0.25, 110_000.0
+		window                   = 8 * time.Second
+		lag                      = 150 * time.Millisecond
+	)
+	tests := map[string]struct {
+		// cut keeps the last hosts from being heard, and their part from the
+		// rest.
+		cut int
+	}{
+		"all hear each other": {0},
+		"two are cut off":     {2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			quotas := make([]*limiter.Quota, hosts)
+			for i := range quotas {
+				quotas[i] = limiter.NewQuota(rate, burst, start)
+				side := hosts - tt.cut
+				if i >= side {
+					side = tt.cut
+				}
+				quotas[i].SetPart(float64(side)/hosts, start)
+			}
+			var admitted []time.Duration
+			for ms := 0; ms < 30_000; ms += 10 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				for _, q := range quotas {
+					if q.Admit(cost, now) {
+						admitted = append(admitted, now.Sub(start))
+					}
+				}
+				if time.Duration(ms)*time.Millisecond%lag != 0 {
+					continue
+				}
+				for i, q := range quotas {
+					for j, other := range quotas {
+						if i != j && (i < hosts-tt.cut) == (j < hosts-tt.cut) {
+							q.Heard(fmt.Sprint(j), other.Used(), now)
+						}
+					}
+				}
+			}
+			bound := (rate*window.Seconds()+burst)*(1+overshoot) + allowance
+			for i := range admitted {
+				n := 0
+				for _, later := range admitted[i:] {
+					if later-admitted[i] <= window {
+						n++
+					}
+				}
+				if used := float64(n) * cost; used > bound {
+					t.Fatalf("%.0f tokens in %v from %v, at most %.0f", used, window, admitted[i], bound)
+				}
+			}
+			if total := float64(len(admitted)) * cost; total < 0.9*rate*30 {
+				t.Errorf("%.0f tokens admitted in 30 s, want nearly all of %.0f", total, rate*30)
+			}
+		})
+	}
+}
+
+func TestQuotaRefund(t *testing.T) {
+	q := limiter.NewQuota(1, 100, start)
+	if !q.Admit(50, start) || q.Admit(50, start) {
+		t.Fatal("half of the burst is there at the start")
+	}
+	q.Refund(50)
+	if q.Used() != 0 || !q.Admit(50, start) {
+		t.Error("a refund is not there")
+	}
+	if wait := q.Until(50, time.Minute, start); wait != 50*time.Second {
+		t.Errorf("room in %v, want 50s", wait)
+	}
+}
+
+func TestNoRateMeansNoBound(t *testing.T) {
+	q := limiter.NewQuota(0, 0, start)
+	for range 1000 {
+		if !q.Admit(1e9, start) {
+			t.Fatal("refused without a bound")
+		}
+	}
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,7 +2,7 @@
 # Checks format, vet and staticcheck, and runs all tests with fixed seeds.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-modules="contract foxtailctl foxtaild foxtailtry scheduler standin"
+modules="contract foxtailctl foxtaild foxtailtry platform scheduler standin"
 packages=()
 for m in $modules; do packages+=("./$m/..."); done
 echo "format"
