--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -64,8 +65,24 @@
 	at       time.Time
 	// alone reports that no other prompt was being read on the upstream.
 	alone bool
-	// started reports that the first event has come.
-	started bool
+	// started reports that the first event has come, observed that its time
+	// was learnt from.
+	started, observed bool
+}
+
+// start takes note of the first event.
+func (g *grant) start() {
+	if !g.started {
+		g.started = true
+		g.upstream.toRead -= g.ask.Prompt
+	}
+}
+
+// end takes a grant back.
+func (c *Coordinator) end(k key, g *grant) {
+	g.start()
+	delete(c.grants, k)
+	delete(g.upstream.running, k)
 }
 
 // Coordinator decides for one failure domain. It is not safe for concurrent
@@ -167,6 +184,7 @@
 	for _, u := range c.upstreams {
 		c.tuneCold(u, now)
 	}
+	c.assign(now)
 }
 
 // SetUpstreams takes in the upstreams that may get new work.
@@ -191,6 +209,23 @@
 			}
 		}
 	}
+	c.assign(now)
+}
+
+// assign lists for each pool the upstreams that may be granted here.
+func (c *Coordinator) assign(now time.Time) {
+	for _, p := range c.pools {
+		p.members = p.members[:0]
+	}
+	for _, u := range c.upstreams {
+		if slices.Contains(c.fleet.Scope, u.Domain) {
+			p := c.pool(u.Pool, now)
+			p.members = append(p.members, u)
+		}
+	}
+	for _, p := range c.pools {
+		slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
 }
 
 // Adopt takes in what an entry runs by another coordinator's grants.
@@ -200,7 +235,7 @@
 		if u == nil || c.grants[key{entry, r.ID}] != nil {
 			continue
 		}
-		c.begin(key{entry, r.ID}, Ask{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Digest: r.Digest, Left: r.Left}, u, now).started = true
+		c.begin(key{entry, r.ID}, Ask{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Digest: r.Digest, Left: r.Left}, u, now).start()
 	}
 }
 
@@ -211,8 +246,7 @@
 	}
 	for k, g := range c.grants {
 		if k.entry == entry {
-			delete(g.upstream.running, k)
-			delete(c.grants, k)
+			c.end(k, g)
 		}
 	}
 }
@@ -244,9 +278,11 @@
 	for name, p := range c.pools {
 		s.Free[name] = -len(p.waiting)
 	}
-	for _, u := range c.upstreams {
-		if u.eligible(c, now) {
-			s.Free[u.Pool] += max(0, u.slots()-len(u.running))
+	for name, p := range c.pools {
+		for _, u := range p.members {
+			if u.eligible(now) {
+				s.Free[name] += max(0, u.slots()-len(u.running))
+			}
 		}
 	}
 	for name, q := range c.quotas {
@@ -264,8 +300,7 @@
 	if g == nil {
 		return
 	}
-	delete(c.grants, k)
-	delete(g.upstream.running, k)
+	c.end(k, g)
 	g.upstream.ended(c, g, f, now)
 	if f.Ending == Unused || f.Ending == Unreached || f.Ending == Mistaken || f.Ending == Rejected {
 		if q := c.quotas[g.ask.Workspace]; q != nil && !g.ask.Redirected {
@@ -277,8 +312,9 @@
 // Progress takes note of a first event.
 func (c *Coordinator) Progress(entry string, p Progress) {
 	if g := c.grants[key{entry, p.ID}]; g != nil && !g.started {
-		g.started = true
+		g.start()
 		if g.alone {
+			g.observed = true
 			g.upstream.speed.ObserveFirstToken(g.ask.Prompt, p.FirstToken)
 		}
 	}
@@ -286,7 +322,8 @@
 
 // begin records a granted request.
 func (c *Coordinator) begin(k key, a Ask, u *upstream, now time.Time) *grant {
-	g := &grant{ask: a, upstream: u, at: now, alone: u.reading() == 0}
+	g := &grant{ask: a, upstream: u, at: now, alone: u.toRead == 0}
+	u.toRead += a.Prompt
 	c.grants[k] = g
 	u.running[k] = g
 	return g
@@ -311,8 +348,7 @@
 func (c *Coordinator) expire(now time.Time) {
 	for k, g := range c.grants {
 		if now.Sub(g.at) > g.ask.Left+expiryMargin {
-			delete(g.upstream.running, k)
-			delete(c.grants, k)
+			c.end(k, g)
 		}
 	}
 }
--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -287,3 +287,33 @@
 		t.Errorf("the cost of a request that did not run is not there again: %+v", d)
 	}
 }
+
+// BenchmarkAdvance decides beside a long queue: one request ends and one
+// comes with each step.
+func BenchmarkAdvance(b *testing.B) {
+	for _, waiting := range []int{0, 100, 1900} {
+		b.Run(fmt.Sprint(waiting, " waiting"), func(b *testing.B) {
+			c := newCoordinator()
+			engines(c, 15, nil)
+			id := uint64(0)
+			next := func(now time.Time) {
+				id++
+				a := ask(id)
+				a.Objective, a.Left = time.Hour, time.Hour
+				c.Ask("entry", a, now)
+			}
+			for range 15*6 + waiting {
+				next(start)
+			}
+			running := c.Advance(start)
+			b.ReportAllocs()
+			now := start
+			for b.Loop() {
+				now = now.Add(2 * time.Millisecond)
+				next(now)
+				c.Finish("entry", coordinator.Finish{ID: running[0].ID}, now)
+				running = append(running[1:], c.Advance(now)...)
+			}
+		})
+	}
+}
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -51,6 +51,8 @@
 	ejectedUntil time.Time
 	failures     int
 	broken       []broken
+	// toRead is the number of prompt tokens that are still to be read.
+	toRead int
 }
 
 // newUpstream returns the state of an upstream that runs nothing.
@@ -88,29 +90,19 @@
 	return defaultSlots
 }
 
-// reading returns the prompt tokens that are still to be read.
-func (u *upstream) reading() (tokens int) {
-	for _, g := range u.running {
-		if !g.started {
-			tokens += g.ask.Prompt
-		}
-	}
-	return tokens
-}
-
 // isCold reports whether the upstream is in cold start.
 func (u *upstream) isCold(now time.Time) bool {
 	return now.Before(u.ColdUntil) || now.Before(u.coldUntil)
 }
 
 // eligible reports whether the upstream may get new work at all.
-func (u *upstream) eligible(c *Coordinator, now time.Time) bool {
-	return !u.absent && !now.Before(u.ejectedUntil) && slices.Contains(c.fleet.Scope, u.Domain)
+func (u *upstream) eligible(now time.Time) bool {
+	return !u.absent && !now.Before(u.ejectedUntil)
 }
 
 // hasRoom reports whether the upstream may get a request right now.
-func (u *upstream) hasRoom(c *Coordinator, now time.Time) bool {
-	if !u.eligible(c, now) || len(u.running) >= u.slots() {
+func (u *upstream) hasRoom(now time.Time) bool {
+	if !u.eligible(now) || len(u.running) >= u.slots() {
 		return false
 	}
 	return u.cold == nil || !u.isCold(now) || u.cold.Has(1, now)
@@ -130,7 +122,17 @@
 	if a.Prompt == 0 && a.Output == 0 {
 		return u.speed.Call()
 	}
-	return u.speed.FirstToken(u.reading() + a.Prompt)
+	return u.speed.FirstToken(u.toRead + a.Prompt)
+}
+
+// anyRoom reports whether any upstream of a pool has room.
+func (c *Coordinator) anyRoom(p *pool, now time.Time) bool {
+	for _, u := range p.members {
+		if u.hasRoom(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // allowed reports whether a request may run in the upstream's region, and
@@ -146,8 +148,8 @@
 // none has room.
 func (c *Coordinator) place(p *pool, a Ask, now time.Time) (best *upstream) {
 	lowest := math.Inf(1)
-	for _, u := range c.upstreams {
-		if u.Pool != p.Name || !u.hasRoom(c, now) || !c.allowed(u, a) {
+	for _, u := range p.members {
+		if !u.hasRoom(now) || !c.allowed(u, a) {
 			continue
 		}
 		health := max(u.speed.Health(), minHealth)
@@ -162,8 +164,8 @@
 // quickest returns the shortest time to a first byte that any upstream of a
 // pool would take.
 func (c *Coordinator) quickest(p *pool, a Ask, now time.Time) (best time.Duration) {
-	for _, u := range c.upstreams {
-		if u.Pool != p.Name || !u.eligible(c, now) {
+	for _, u := range p.members {
+		if !u.eligible(now) {
 			continue
 		}
 		if d := u.firstToken(a); best == 0 || d < best {
@@ -176,8 +178,8 @@
 // exists reports whether any upstream of a pool may serve a request, now or
 // later.
 func (c *Coordinator) exists(p *pool, a Ask, now time.Time) bool {
-	for _, u := range c.upstreams {
-		if u.Pool == p.Name && u.eligible(c, now) && c.allowed(u, a) {
+	for _, u := range p.members {
+		if u.eligible(now) && c.allowed(u, a) {
 			return true
 		}
 	}
@@ -216,7 +218,7 @@
 		u.speed.ObserveCall(f.Total)
 		return
 	}
-	if !g.started && g.alone && f.FirstToken > 0 {
+	if g.alone && f.FirstToken > 0 && !g.observed {
 		u.speed.ObserveFirstToken(g.ask.Prompt, f.FirstToken)
 	}
 	u.speed.ObserveTokens(f.Tokens, f.Generating)
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -22,6 +22,8 @@
 	// lateReserve is kept of the time a caller has left, so that an answer
 	// still arrives.
 	lateReserve = 100 * time.Millisecond
+	// sweepPeriod is the time between two looks at all that wait.
+	sweepPeriod = 15 * time.Millisecond
 	// lateWait is how long a request waits at most for a late answer. Callers
 	// abandon a stream that has no event after two seconds.
 	lateWait = 1400 * time.Millisecond
@@ -32,9 +34,15 @@
 	Ask
 	entry string
 	since time.Time
-	// slack is how much later the request could be sent and still meet its
-	// objective; below zero it is late.
-	slack time.Duration
+	// sendBy is when the request must be sent at the latest to meet its
+	// objective.
+	sendBy time.Time
+	// late reports whether that time has passed.
+	late bool
+	// tried is the round of serving in which no upstream could be found.
+	tried uint64
+	// swept is when it was last looked at whether it should wait on.
+	swept time.Time
 }
 
 // age returns how long ago the caller first asked.
@@ -46,8 +54,14 @@
 // pool is the state of one pool.
 type pool struct {
 	router.Pool
+	// members are the upstreams that may be granted here.
+	members []*upstream
 	waiting []*waiter
 	retries *limiter.Bucket
+	// round counts the calls of serve, sweptAt is when all that wait were
+	// last looked at.
+	round   uint64
+	sweptAt time.Time
 }
 
 // Ask takes in a request for a slot. The decision comes with Advance.
@@ -57,7 +71,10 @@
 		c.decide(entry, Decision{ID: a.ID, Reason: reason, RetryAfter: after})
 		return
 	}
-	p.waiting = append(p.waiting, &waiter{Ask: a, entry: entry, since: now})
+	p.waiting = append(p.waiting, &waiter{
+		Ask: a, entry: entry, since: now,
+		sendBy: now.Add(a.Objective - a.Age - c.quickest(p, a, now)),
+	})
 }
 
 // limit checks an ask against the limits of the whole fleet and counts it.
@@ -86,17 +103,66 @@
 }
 
 // serve gives the free slots of a pool to those that wait, in their order,
-// and refuses those for which it is too late.
+// and looks now and then for those that should wait no longer. Its cost does
+// not grow with the queue while no slot is free.
 func (c *Coordinator) serve(p *pool, now time.Time) {
-	if len(p.waiting) == 0 {
-		return
+	p.round++
+	for len(p.waiting) > 0 && c.anyRoom(p, now) {
+		i := c.next(p, now)
+		if i < 0 {
+			break
+		}
+		w := p.waiting[i]
+		a := w.Ask
+		a.Age = w.age(now)
+		u := c.place(p, a, now)
+		if u == nil {
+			w.tried = p.round
+			continue
+		}
+		c.grant(w, u, now)
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+	from := len(p.waiting)
+	for from > 0 && p.waiting[from-1].swept.IsZero() {
+		from--
+	}
+	if now.Sub(p.sweptAt) >= sweepPeriod {
+		p.sweptAt, from = now, 0
+	}
+	c.sweep(p, from, now)
+}
+
+// next returns the first of those that wait and were not tried in this round.
+func (c *Coordinator) next(p *pool, now time.Time) (first int) {
+	first = -1
+	for i, w := range p.waiting {
+		if w.tried == p.round {
+			continue
+		}
+		w.late = now.After(w.sendBy)
+		if first < 0 || c.order(w, p.waiting[first]) < 0 {
+			first = i
+		}
 	}
-	for _, w := range p.waiting {
-		w.slack = w.Objective - w.age(now) - c.quickest(p, w.Ask, now)
+	return first
+}
+
+// grant gives an upstream to one that waits.
+func (c *Coordinator) grant(w *waiter, u *upstream, now time.Time) {
+	c.begin(key{w.entry, w.ID}, w.Ask, u, now)
+	if u.cold != nil && u.isCold(now) {
+		u.cold.Spend(1, now)
 	}
-	slices.SortStableFunc(p.waiting, c.order)
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
+	c.decide(w.entry, Decision{ID: w.ID, Upstream: u.ID})
+}
+
+// sweep redirects or refuses those that should not wait here any longer, from
+// an index on: the latest to come are at the end.
+func (c *Coordinator) sweep(p *pool, from int, now time.Time) {
+	kept := p.waiting[:from]
+	for _, w := range p.waiting[from:] {
+		w.swept = now
 		if !c.settle(p, w, now) {
 			kept = append(kept, w)
 		}
@@ -113,22 +179,18 @@
 	if a.Tier != b.Tier {
 		return cmp.Compare(a.Tier, b.Tier)
 	}
-	if (a.slack > 0) != (b.slack > 0) {
-		return cmp.Compare(b.slack, a.slack)
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
 	}
-	return cmp.Compare(a.slack, b.slack)
+	return a.sendBy.Compare(b.sendBy)
 }
 
-// settle decides on one ask if it can, and reports whether it did.
+// settle ends the wait of one that no upstream here takes, if it should end,
+// and reports whether it did.
 func (c *Coordinator) settle(p *pool, w *waiter, now time.Time) bool {
-	if u := c.place(p, w.Ask, now); u != nil {
-		c.begin(key{w.entry, w.ID}, w.Ask, u, now)
-		if u.cold != nil && u.isCold(now) {
-			u.cold.Spend(1, now)
-		}
-		c.decide(w.entry, Decision{ID: w.ID, Upstream: u.ID})
-		return true
-	}
 	if domain := c.redirect(p, w.Ask, now); domain != "" {
 		c.decide(w.entry, Decision{ID: w.ID, Domain: domain})
 		return true
