logger, reporter, platform: bounded logs, metrics on an address

Cause: each line was written straight to standard output, so a flood or a slow reader would hold requests; no counters were served. What was not served is logged at a level of its own.

--- a/foxtaild/daemon/daemon.go
+++ b/foxtaild/daemon/daemon.go
@@ -23,7 +23,7 @@
 	"foxtaillug.org/foxtaild/internal/keeper"
 	"foxtaillug.org/foxtaild/internal/messenger"
 	"foxtaillug.org/foxtaild/internal/receiver"
-	"foxtaillug.org/foxtaild/internal/reporter"
+	"foxtaillug.org/foxtaild/reporter"
 	"foxtaillug.org/foxtaild/internal/requester"
 	"foxtaillug.org/foxtaild/internal/watcher"
 	"foxtaillug.org/scheduler"
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -17,8 +17,10 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
+	"foxtaillug.org/contract"
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/coordinator"
@@ -45,11 +47,28 @@
 	connector *connector.Connector
 	directory *directory.Directory
 	log       *slog.Logger
+	observe   func(contract.Explanation, time.Duration)
+}
+
+// Option sets a detail of a Forwarder.
+type Option func(*Forwarder)
+
+// WithObserver tells each request's end and its time to the first event, 0 if
+// none came, to metrics.
+func WithObserver(observe func(e contract.Explanation, first time.Duration)) Option {
+	return func(f *Forwarder) { f.observe = observe }
 }
 
 // New returns a forwarder.
-func New(a Asker, c Codec, conns *connector.Connector, d *directory.Directory, log *slog.Logger) *Forwarder {
-	return &Forwarder{asker: a, codec: c, connector: conns, directory: d, log: log}
+func New(a Asker, c Codec, conns *connector.Connector, d *directory.Directory, log *slog.Logger, opts ...Option) *Forwarder {
+	f := &Forwarder{
+		asker: a, codec: c, connector: conns, directory: d, log: log,
+		observe: func(contract.Explanation, time.Duration) {},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // Result tells a front how a request ended.
@@ -102,24 +121,37 @@
 	return res
 }
 
-// report writes the request's line into the log.
+// report writes the request's line into the log and tells the metrics. What
+// was not served is logged at a level, and so with a budget, of its own.
 func (n *run) report(ctx context.Context, res Result) {
 	r := n.r
-	outcome := "complete"
+	outcome, level := "complete", slog.LevelInfo
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		outcome = "callerGone"
 	case res.Status == 0:
-		outcome = n.refusal.Verdict.String()
+		outcome, level = n.refusal.Verdict.String(), slog.LevelWarn
 	case !res.Complete:
-		outcome = "broken"
+		outcome, level = "broken", slog.LevelWarn
+	case res.Status >= http.StatusInternalServerError:
+		outcome, level = "failed", slog.LevelWarn
 	}
-	n.log.Info("request",
+	took := time.Since(r.Arrived)
+	n.log.Log(context.Background(), level, "request",
 		"id", r.ID, "route", r.Route.Name, "workspace", r.Workspace, "tier", r.Tier, "pool", r.Pool,
 		"outcome", outcome, "status", res.Status, "reason", n.refusal.Reason,
+		"retryAfterMs", n.refusal.RetryAfter.Milliseconds(),
 		"prompt", r.Prompt, "output", r.Output, "ageMs", r.Age.Milliseconds(),
-		"waitedMs", n.queued.Milliseconds(), "firstMs", n.firstByte.Milliseconds(), "pauseMs", n.longest.Milliseconds(), "tookMs", time.Since(r.Arrived).Milliseconds(),
+		"waitedMs", n.queued.Milliseconds(), "firstMs", n.firstByte.Milliseconds(), "pauseMs", n.longest.Milliseconds(), "tookMs", took.Milliseconds(),
 		"upstreams", n.tried, "endings", n.endings)
+	upstream := ""
+	if len(n.tried) > 0 {
+		upstream = n.tried[len(n.tried)-1]
+	}
+	n.observe(contract.Explanation{
+		RequestID: r.ID, At: r.Arrived, Workspace: r.Workspace, Tier: strconv.Itoa(r.Tier), Pool: r.Pool, Upstream: upstream,
+		Outcome: outcome, Reason: n.refusal.Reason, WaitedMs: n.queued.Milliseconds(), TotalMs: took.Milliseconds(), Dispatches: n.sent,
+	}, n.firstByte)
 }
 
 // serve tries upstreams until the request has its answer or is given up.
--- a/foxtaild/internal/receiver/receiver.go
+++ b/foxtaild/internal/receiver/receiver.go
@@ -23,7 +23,7 @@
 	"foxtaillug.org/foxtaild/internal/gossiper"
 	"foxtaillug.org/foxtaild/internal/keeper"
 	"foxtaillug.org/foxtaild/internal/messenger"
-	"foxtaillug.org/foxtaild/internal/reporter"
+	"foxtaillug.org/foxtaild/reporter"
 	"foxtaillug.org/foxtaild/internal/requester"
 	"foxtaillug.org/scheduler"
 	"foxtaillug.org/scheduler/booker"
--- /dev/null
+++ b/foxtaild/logger/logger_test.go
@@ -0,0 +1,72 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a writer that blocks until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(b)
+}
+
+// clock is a time that a test sets.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+// TestAFloodNeverBlocks logs many times what the ring holds while nothing can
+// be written.
+func TestAFloodNeverBlocks(t *testing.T) {
+	w := &stuck{release: make(chan struct{})}
+	c := &clock{now: time.Unix(1, 0)}
+	l := newLogger(w, nil, c.read)
+	for range 4 * ringLines {
+		c.now = c.now.Add(budgetPeriod / budget)
+		l.Info("request")
+	}
+	if l.Dropped() == 0 {
+		t.Error("no line was dropped although nothing was written")
+	}
+	close(w.release)
+	l.Close()
+	if n := strings.Count(w.out.String(), "\n"); n < ringLines {
+		t.Errorf("%d lines written after all, want those %d in the ring", n, ringLines)
+	}
+}
+
+// TestBudgets floods one kind of line and looks for another.
+func TestBudgets(t *testing.T) {
+	var out bytes.Buffer
+	c := &clock{now: time.Unix(1, 0)}
+	l := newLogger(&out, nil, c.read)
+	derived := l.With("host", "h")
+	for range 10 * budget {
+		derived.Info("request")
+	}
+	derived.Warn("request failed")
+	c.now = c.now.Add(budgetPeriod)
+	derived.Info("request")
+	l.Close()
+	text := out.String()
+	if n := strings.Count(text, `"msg":"request"`); n != budget+1 {
+		t.Errorf("%d lines of the flood, want %d", n, budget+1)
+	}
+	for _, want := range []string{`"msg":"request failed"`, `"of":"request","atLevel":"INFO","lines":1350`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%s is not in the log", want)
+		}
+	}
+}
