coordinator: asks of a domain without upstreams go where the fewest wait

Change: such an ask goes at once to the domain where the fewest wait; a domain without upstreams of a pool no longer offers itself for it.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -275,15 +275,15 @@
 // Summary returns what other coordinators should hear.
 func (c *Coordinator) Summary(now time.Time) Summary {
 	s := Summary{Process: c.process, Domain: c.fleet.Domain, Free: make(map[string]int), Used: make(map[string]float64), Crashes: maps.Clone(c.crashes)}
-	for name, p := range c.pools {
-		s.Free[name] = -len(p.waiting)
-	}
 	for name, p := range c.pools {
 		for _, u := range p.members {
 			if u.eligible(now) {
 				s.Free[name] += max(0, u.slots()-len(u.running))
 			}
 		}
+		if _, serves := s.Free[name]; serves {
+			s.Free[name] -= len(p.waiting)
+		}
 	}
 	for name, q := range c.quotas {
 		if used := q.Used(); used > 0 {
--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -228,13 +228,19 @@
 		free    map[string]int
 		regions []string
 		age     time.Duration
-		want    string
+		// busy domains have an engine of their own without a free slot.
+		busy bool
+		want string
 	}{
-		"nearest first":           {map[string]int{"near": 1, "far": 9}, nil, 0, "near"},
-		"far if near has no room": {map[string]int{"near": 0, "far": 9}, nil, 0, "far"},
-		"nowhere":                 {map[string]int{"near": 0, "far": -3}, nil, 0, ""},
-		"only where it may run":   {map[string]int{"far": 9}, []string{"r"}, 0, ""},
-		"not on old news":         {map[string]int{"near": 5}, nil, 3 * time.Second, ""},
+		"nearest first":             {map[string]int{"near": 1, "far": 9}, nil, 0, true, "near"},
+		"far if near has no room":   {map[string]int{"near": 0, "far": 9}, nil, 0, true, "far"},
+		"waits if nowhere is room":  {map[string]int{"near": 0, "far": -3}, nil, 0, true, ""},
+		"only where it may run":     {map[string]int{"far": 9}, []string{"r"}, 0, true, ""},
+		"not on old news":           {map[string]int{"near": 5}, nil, 3 * time.Second, true, ""},
+		"evacuated, nowhere room":   {map[string]int{"near": -5, "far": -3}, nil, 0, false, "far"},
+		"evacuated, room is near":   {map[string]int{"near": 1, "far": 9}, nil, 0, false, "near"},
+		"evacuated, nobody to ask":  {nil, nil, 0, false, ""},
+		"evacuated, far away as is": {map[string]int{"far": -30}, nil, 0, false, "far"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -243,6 +249,13 @@
 			for domain, free := range tt.free {
 				c.Heard(coordinator.Summary{Process: domain, Domain: domain, Free: map[string]int{"engines": free}}, start)
 			}
+			if tt.busy {
+				engines(c, 1, nil)
+				for id := range uint64(6) {
+					c.Ask("entry", ask(100+id), start)
+				}
+				c.Advance(start)
+			}
 			a := ask(1)
 			a.Regions = tt.regions
 			now := start.Add(tt.age)
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -217,12 +218,18 @@
 	return now.Sub(w.since) > max(w.Objective-w.Age, lateWait)
 }
 
-// redirect returns the failure domain whose coordinator has room for a
-// request, nearest first; empty if none is known to.
+// redirect returns the failure domain whose coordinator should be asked
+// instead: the nearest that has room, or, where this domain has no upstream for
+// the request, as during an evacuation, the one where the fewest wait for a
+// slot. It is empty if the request should wait here.
 func (c *Coordinator) redirect(p *pool, a Ask, now time.Time) (domain string) {
 	if a.Redirected || c.fleet.Alone {
 		return ""
 	}
+	least := 1
+	if !c.exists(p, a, now) {
+		least = math.MinInt
+	}
 	here := c.fleet.Regions[c.fleet.Domain]
 	bestRoom, bestNear := 0, false
 	for d, other := range c.peers {
@@ -232,9 +239,13 @@
 		if len(a.Regions) > 0 && !slices.Contains(a.Regions, c.fleet.Regions[d]) {
 			continue
 		}
-		room := other.summary.Free[p.Name] - other.sent[p.Name]
-		near := c.fleet.Regions[d] == here
-		if room <= 0 || domain != "" && (bestNear && !near || bestNear == near && room <= bestRoom) {
+		free, serves := other.summary.Free[p.Name]
+		room := free - other.sent[p.Name]
+		if !serves || room < least {
+			continue
+		}
+		near := c.fleet.Regions[d] == here && room > 0
+		if domain != "" && (bestNear && !near || bestNear == near && room <= bestRoom) {
 			continue
 		}
 		domain, bestRoom, bestNear = d, room, near
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -149,7 +149,8 @@
 type Summary struct {
 	// Process names the coordinator's process, Domain its failure domain.
 	Process, Domain string
-	// Free is the number of free slots of each pool, less what waits.
+	// Free is the number of free slots of each pool, less what waits. A pool
+	// without an upstream that may get work is not in it.
 	Free map[string]int
 	// Used is what each workspace was admitted since the process started, in
 	// tokens.
