coordinator, platform: workspaces rank before routes

Change: requests are served by the workspace's tier, then the route's priority. Test: TestOrderOfTiersAndPriorities.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -138,7 +138,7 @@
 	}
 	took := time.Since(r.Arrived)
 	n.log.Log(context.Background(), level, "request",
-		"id", r.ID, "route", r.Route.Name, "workspace", r.Workspace, "tier", r.Tier, "pool", r.Pool,
+		"id", r.ID, "route", r.Route.Name, "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", r.Pool,
 		"outcome", outcome, "status", res.Status, "reason", n.refusal.Reason,
 		"retryAfterMs", n.refusal.RetryAfter.Milliseconds(),
 		"prompt", r.Prompt, "output", r.Output, "ageMs", r.Age.Milliseconds(),
@@ -149,7 +149,7 @@
 		upstream = n.tried[len(n.tried)-1]
 	}
 	n.observe(contract.Explanation{
-		RequestID: r.ID, At: r.Arrived, Workspace: r.Workspace, Tier: strconv.Itoa(r.Tier), Pool: r.Pool, Upstream: upstream,
+		RequestID: r.ID, At: r.Arrived, Workspace: r.Workspace, Tier: strconv.Itoa(r.Tier) + "." + strconv.Itoa(r.Route.Priority), Pool: r.Pool, Upstream: upstream,
 		Outcome: outcome, Reason: n.refusal.Reason, WaitedMs: n.queued.Milliseconds(), TotalMs: took.Milliseconds(), Dispatches: n.sent,
 	}, n.firstByte)
 }
@@ -189,7 +189,7 @@
 	r := n.r
 	began := time.Now()
 	g, err := n.asker.Ask(ctx, coordinator.Ask{
-		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier,
+		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
 		Age: r.Age + began.Sub(r.Arrived), Objective: r.Route.Objective, Left: time.Until(r.Deadline),
 		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output, Prefix: r.Prefix,
 		Repeat: n.sent > 0, Exclude: n.tried, Regions: r.Regions, Digest: r.Digest,
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -26,8 +26,9 @@
 	Pool      string
 	Workspace string
 	Regions   []string
-	Tier      int
-	Arrived   time.Time
+	// Tier is the workspace's standing; 0 is the highest.
+	Tier    int
+	Arrived time.Time
 	// Age is how long before Arrived the caller first asked.
 	Age time.Duration
 	// Deadline is when the caller or the route's timeout ends the request.
--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -330,3 +331,25 @@
 		})
 	}
 }
+
+func TestOrderOfTiersAndPriorities(t *testing.T) {
+	c := newCoordinator()
+	engines(c, 1, nil)
+	for id := range uint64(6) {
+		c.Ask("entry", ask(100+id), start)
+	}
+	c.Advance(start)
+	for id, rank := range [][2]int{{1, 0}, {0, 2}, {1, 1}, {0, 1}} {
+		a := ask(uint64(id))
+		a.Tier, a.Priority = rank[0], rank[1]
+		c.Ask("entry", a, start)
+	}
+	var got []uint64
+	for id := range uint64(4) {
+		c.Finish("entry", coordinator.Finish{ID: 100 + id}, start)
+		got = append(got, one(t, c, start).ID)
+	}
+	if want := []uint64{3, 1, 0, 2}; !slices.Equal(got, want) {
+		t.Errorf("served in the order %v, want %v", got, want)
+	}
+}
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -177,8 +177,8 @@
 // burst would make every request late: the longest waiting go first, and each
 // is served just after its objective.
 func bySlack(a, b *waiter) int {
-	if a.Tier != b.Tier {
-		return cmp.Compare(a.Tier, b.Tier)
+	if a.Tier != b.Tier || a.Priority != b.Priority {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Priority, b.Priority))
 	}
 	if a.late != b.late {
 		if b.late {
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -15,8 +15,9 @@
 	ID        uint64
 	Pool      string
 	Workspace string
-	// Tier is the caller's standing; 0 is the highest.
-	Tier int
+	// Tier is the workspace's standing and Priority ranks routes within a
+	// tier; 0 is the highest of both.
+	Tier, Priority int
 	// Age is how long ago the caller first asked.
 	Age time.Duration
 	// Objective is the time to the first byte that the operators aim at,
