--- a/foxtailctl/commander/commander.go
+++ b/foxtailctl/commander/commander.go
@@ -62,6 +62,8 @@
 	Diff       diffCmd       `cmd:"" help:"Say in words what a configuration changes."`
 	Status     statusCmd     `cmd:"" help:"Show what is in force on hosts."`
 	Explain    explainCmd    `cmd:"" help:"Tell where and why a request went."`
+	Story      storyCmd      `cmd:"" help:"Tell a request's story from hosts' logs."`
+	Day        dayCmd        `cmd:"" help:"Sum hosts' logs up by time and reason."`
 	Keygen     keygenCmd     `cmd:"" help:"Make an API key and the hash to configure."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 	Completion completionCmd `cmd:"" help:"Print a completion script for a shell."`
