--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -4,8 +4,8 @@
 // There are two sources. One reads the operators' store, and is told apart by
 // the store's revision, a single counter of all changes. The other is a peer:
 // a host that can't read the store takes over the whole state of a peer that
-// has read further. The highest revision wins, so the order in which news
-// arrives does not matter.
+// has read further. The highest revision wins, so the order in which
+// changes arrive does not matter.
 package directory
 
 import (
--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -14,7 +14,7 @@
 	feedTick = 60 * time.Millisecond
 	// feedBeat is the time between two signs of health to followers.
 	feedBeat = 400 * time.Millisecond
-	// freshPart is the part of the time in which news must be in force after
+	// freshPart is the part of the time in which changes must be in force after
 	// which a host that is told nothing reads the store itself.
 	freshPart = 0.65
 	// readers is the number of hosts of a failure domain that read the store.
@@ -51,7 +51,7 @@
 
 // fresh returns how old what this host is told may be.
 func (l *Linker) fresh() time.Duration {
-	return time.Duration(freshPart * float64(l.settings.NewsBound))
+	return time.Duration(freshPart * float64(l.settings.UpdateBound))
 }
 
 // domainReaders returns the addresses of the hosts of a failure domain that
--- a/foxtaild/linker/linker_test.go
+++ b/foxtaild/linker/linker_test.go
@@ -55,9 +55,9 @@
 	dir := directory.New(log)
 	l, err := linker.New(linker.Settings{
 		Host: name, Process: name, Domain: "a", Region: "r", Address: address, Contacts: contacts,
-		Regions:   map[string]string{"a": "r"},
-		NewsBound: 2500 * time.Millisecond,
-		Bounds:    coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second},
+		Regions:     map[string]string{"a": "r"},
+		UpdateBound: 2500 * time.Millisecond,
+		Bounds:      coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second},
 	}, dir, log)
 	if err != nil {
 		t.Fatal(err)
@@ -226,7 +226,7 @@
 	}
 }
 
-// TestHostsThatDoNotReadTheStoreAreTold gives news to the two oldest hosts.
+// TestHostsThatDoNotReadTheStoreAreTold changes what the two oldest hosts know.
 func TestHostsThatDoNotReadTheStoreAreTold(t *testing.T) {
 	first := startHost(t, "one", freeAddress(t))
 	hosts := []*host{first}
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -1,7 +1,6 @@
 package detector
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,64 +35,6 @@
 	youngTime = 8 * time.Second
 )
 
-// Status is what is believed of a member.
-type Status uint8
-
-// The statuses, in the order in which they override each other within one
-// incarnation.
-const (
-	Alive Status = iota
-	Suspect
-	Dead
-)
-
-// Member is one host's process as others know it.
-type Member struct {
-	ID          string `cbor:"1,keyasint"`
-	Address     string `cbor:"2,keyasint"`
-	Domain      string `cbor:"3,keyasint"`
-	Region      string `cbor:"4,keyasint"`
-	Incarnation uint64 `cbor:"5,keyasint"`
-	Status      Status `cbor:"6,keyasint,omitempty"`
-	// Started is the incarnation with which the process started; it orders
-	// processes by age.
-	Started uint64 `cbor:"7,keyasint"`
-	// Version is the configuration's version in force at the member, and
-	// Revision how far it has read the store.
-	Version  uint64 `cbor:"8,keyasint,omitempty"`
-	Revision uint64 `cbor:"9,keyasint,omitempty"`
-	// Leaving members take no new duties.
-	Leaving bool `cbor:"10,keyasint,omitempty"`
-}
-
-// Kind is the kind of a message.
-type Kind uint8
-
-// The kinds of messages.
-const (
-	Ping Kind = iota
-	Ack
-	PingRequest
-)
-
-// Message is what hosts send each other.
-type Message struct {
-	Kind Kind   `cbor:"1,keyasint"`
-	Seq  uint64 `cbor:"2,keyasint"`
-	// From describes the sender itself.
-	From Member `cbor:"3,keyasint"`
-	// Target is the address to be pinged for the sender.
-	Target string `cbor:"4,keyasint,omitempty"`
-	// Members are what the sender believes of others.
-	Members []Member `cbor:"5,keyasint,omitempty"`
-}
-
-// Packet is a message on its way to an address.
-type Packet struct {
-	To      string
-	Message Message
-}
-
 // entry is a member with what this host keeps of it.
 type entry struct {
 	Member
@@ -281,31 +222,6 @@
 	return packets
 }
 
-// pick returns up to n random live members other than one.
-func (d *Detector) pick(n int, not string) (picked []*entry) {
-	for _, id := range d.shuffled() {
-		e := d.members[id]
-		if e.Status == Alive && id != not {
-			picked = append(picked, e)
-		}
-		if len(picked) == n {
-			break
-		}
-	}
-	return picked
-}
-
-// shuffled returns all members' ids in random order.
-func (d *Detector) shuffled() []string {
-	ids := make([]string, 0, len(d.members))
-	for id := range d.members {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	d.rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids
-}
-
 // expire declares suspects dead and forgets the dead.
 func (d *Detector) expire(now time.Time) {
 	for id, e := range d.members {
@@ -348,32 +264,6 @@
 	return packets
 }
 
-// change sets what is believed of a member and spreads it.
-func (d *Detector) change(e *entry, s Status, now time.Time) {
-	e.Status, e.since, e.passes = s, now, 0
-	d.changes++
-}
-
-// piggyback returns the members that travel with a message: those changed
-// last, and a few random ones.
-func (d *Detector) piggyback() (list []Member) {
-	ids := d.shuffled()
-	for _, id := range ids {
-		if e := d.members[id]; e.passes < spread && len(list) < fresh {
-			e.passes++
-			list = append(list, e.Member)
-		}
-	}
-	n := sample
-	if d.lastTick.Sub(d.firstTick) < youngTime {
-		n = youngSample
-	}
-	for _, id := range ids[:min(n, len(ids))] {
-		list = append(list, d.members[id].Member)
-	}
-	return list
-}
-
 // Receive takes in a message and returns the answers to be sent.
 func (d *Detector) Receive(from string, m Message, now time.Time) (packets []Packet) {
 	if m.From.ID == d.self.ID && m.From.Started == d.self.Started {
@@ -407,66 +297,3 @@
 	}
 	return packets
 }
-
-// introduction is the number of members told to a host that joins.
-const introduction = 40
-
-// some returns members for a host that joins: those of its own failure domain
-// first, then random ones.
-func (d *Detector) some(domain string) (list []Member) {
-	ids := d.shuffled()
-	slices.SortStableFunc(ids, func(a, b string) int {
-		return cmp.Compare(distance(d.members[a], domain), distance(d.members[b], domain))
-	})
-	for _, id := range ids[:min(introduction, len(ids))] {
-		list = append(list, d.members[id].Member)
-	}
-	return list
-}
-
-// distance is 0 for a member of a failure domain and 1 for any other.
-func distance(e *entry, domain string) int {
-	if e.Domain == domain {
-		return 0
-	}
-	return 1
-}
-
-// merge takes in what a message says of a member. A record that comes from
-// the member itself proves that it is alive.
-func (d *Detector) merge(m Member, now time.Time, direct bool) {
-	if m.ID == d.self.ID {
-		if m.Incarnation >= d.self.Incarnation && (m.Status != Alive || m.Started != d.self.Started) {
-			d.self.Incarnation = m.Incarnation + 1
-			d.changes++
-		}
-		return
-	}
-	e := d.members[m.ID]
-	if e == nil {
-		if m.Status >= Dead {
-			return
-		}
-		d.members[m.ID] = &entry{Member: m, since: now}
-		d.changes++
-		return
-	}
-	switch {
-	case m.Incarnation > e.Incarnation, m.Incarnation == e.Incarnation && m.Status > e.Status:
-		changed := e.Status != m.Status || e.Started != m.Started || e.Leaving != m.Leaving || e.Address != m.Address
-		e.Member = m
-		if changed {
-			d.change(e, m.Status, now)
-		}
-	case direct && m.Incarnation == e.Incarnation && e.Status == Suspect:
-		e.Member = m
-		d.change(e, Alive, now)
-	case direct && m.Incarnation < e.Incarnation && m.Started != e.Started:
-		// A process that started again under an old name, with a clock behind
-		// its predecessor's: the answer tells it the higher number.
-		e.Status = max(e.Status, Suspect)
-	}
-	if m.Incarnation == e.Incarnation {
-		e.Version, e.Revision = max(e.Version, m.Version), max(e.Revision, m.Revision)
-	}
-}
