coordinator: a wait ends at half of the caller's time, wherever it was spent

Change: asks carry how long they have waited; a wait ends at 1.4 s or at half of what the caller had, whichever comes first.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -190,7 +190,7 @@
 	began := time.Now()
 	g, err := n.asker.Ask(ctx, coordinator.Ask{
 		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
-		Age: r.Age + began.Sub(r.Arrived), Objective: r.Route.Objective, Left: time.Until(r.Deadline),
+		Age: r.Age + began.Sub(r.Arrived), Objective: r.Route.Objective, Left: time.Until(r.Deadline), Waited: n.queued,
 		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output, Prefix: r.Prefix,
 		Repeat: n.sent > 0, Exclude: n.tried, Regions: r.Regions, Digest: r.Digest,
 	})
--- a/foxtaild/linker/asker.go
+++ b/foxtaild/linker/asker.go
@@ -106,8 +106,10 @@
 	}
 	if err == nil && d.Domain != "" {
 		a.Redirected = true
-		a.Age += time.Since(began)
-		a.Left -= time.Since(began)
+		waited := time.Since(began)
+		a.Age += waited
+		a.Left -= waited
+		a.Waited += waited
 		d, via, err = l.askLink(ctx, v.coordinators[d.Domain], a)
 	}
 	if err == nil && d.Domain != "" {
@@ -116,6 +118,7 @@
 	if err != nil && ctx.Err() == nil {
 		l.log.Debug("deciding alone", "ask", a.ID, "error", err.Error())
 		via = nil
+		a.Waited += time.Since(began)
 		d, err = l.askLocal(ctx, a)
 		if err == nil && d.Domain != "" {
 			d = coordinator.Decision{ID: a.ID, Reason: coordinator.NoCapacity, RetryAfter: linkRetry}
--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -353,3 +353,39 @@
 		t.Errorf("served in the order %v, want %v", got, want)
 	}
 }
+
+// TestWaitsEnd checks how long requests wait that get no slot: never so long
+// that their caller can't come back, and no longer for having been redirected.
+func TestWaitsEnd(t *testing.T) {
+	tests := map[string]struct {
+		left, waited, want time.Duration
+	}{
+		"long deadline":        {5 * time.Second, 0, 1400 * time.Millisecond},
+		"short deadline":       {800 * time.Millisecond, 0, 400 * time.Millisecond},
+		"waited elsewhere":     {4 * time.Second, time.Second, 400 * time.Millisecond},
+		"waited enough before": {600 * time.Millisecond, 800 * time.Millisecond, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCoordinator()
+			engines(c, 1, nil)
+			for id := range uint64(6) {
+				c.Ask("entry", ask(100+id), start)
+			}
+			c.Advance(start)
+			a := ask(1)
+			a.Left, a.Waited = tt.left, tt.waited
+			c.Ask("entry", a, start)
+			for waited := time.Duration(0); waited < 5*time.Second; waited += 20 * time.Millisecond {
+				if d := c.Advance(start.Add(waited)); len(d) == 0 {
+					continue
+				}
+				if waited < tt.want || waited > tt.want+40*time.Millisecond {
+					t.Errorf("refused after %v, want %v", waited, tt.want)
+				}
+				return
+			}
+			t.Error("never refused")
+		})
+	}
+}
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -25,6 +25,9 @@
 	lateReserve = 100 * time.Millisecond
 	// sweepPeriod is the time between two looks at all that wait.
 	sweepPeriod = 15 * time.Millisecond
+	// waitPart is the part of the time that a caller has which it waits at
+	// most: what is left is enough to come back once.
+	waitPart = 0.5
 	// lateWait is how long a request waits at most for a late answer. Callers
 	// abandon a stream that has no event after two seconds.
 	lateWait = 1400 * time.Millisecond
@@ -215,7 +218,7 @@
 	if w.left(now) < lateReserve {
 		return true
 	}
-	return now.Sub(w.since) > max(w.Objective-w.Age, lateWait)
+	return w.Waited+now.Sub(w.since) > min(lateWait, time.Duration(waitPart*float64(w.Left+w.Waited)))
 }
 
 // redirect returns the failure domain whose coordinator should be asked
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -25,6 +25,8 @@
 	Objective time.Duration
 	// Left is how much longer the caller waits.
 	Left time.Duration
+	// Waited is how long the request has waited for a slot elsewhere.
+	Waited time.Duration
 	// Cost is what the request takes from its workspace's quota, in tokens.
 	Cost float64
 	// Prompt and Output are the tokens to be read and expected to be
