--- a/foxtaild/internal/receiver/receiver.go
+++ b/foxtaild/internal/receiver/receiver.go
@@ -23,8 +23,8 @@
 	"foxtaillug.org/foxtaild/internal/gossiper"
 	"foxtaillug.org/foxtaild/internal/keeper"
 	"foxtaillug.org/foxtaild/internal/messenger"
-	"foxtaillug.org/foxtaild/reporter"
 	"foxtaillug.org/foxtaild/internal/requester"
+	"foxtaillug.org/foxtaild/reporter"
 	"foxtaillug.org/scheduler"
 	"foxtaillug.org/scheduler/booker"
 )
