daemon: a starting host waits for the host list before it settles

Traced: a host asked its peers for a newer configuration as soon as it had one itself; if the host list came after the values there was nobody to ask, and it was ready with version 1 where 2 was in force. Change: settling waits for the first host list, 2 s at most.

--- a/foxtaild/daemon/daemon.go
+++ b/foxtaild/daemon/daemon.go
@@ -37,6 +37,10 @@
 // configuration.
 const settleTime = 2 * time.Second
 
+// settleTick is the time between two looks whether there is anything to ask
+// peers about.
+const settleTick = 20 * time.Millisecond
+
 // Daemon is one host's process.
 type Daemon struct {
 	settings    Settings
@@ -278,13 +282,21 @@
 	}
 }
 
+// hostsKnown reports whether the host list has been read, or was not within the
+// time in which peers are asked. Without it there is nobody to ask, and an
+// older configuration would look like the newest.
+func (d *Daemon) hostsKnown() bool {
+	s := d.keeper.State()
+	return d.keeper.Listed() || s != nil && time.Since(s.Since()) > settleTime
+}
+
 // settle asks all peers once for a newer configuration; before that the host
 // is not ready.
 func (d *Daemon) settle(ctx context.Context) {
 	defer close(d.settled)
-	tick := time.NewTicker(20 * time.Millisecond)
+	tick := time.NewTicker(settleTick)
 	defer tick.Stop()
-	for d.keeper.State() == nil {
+	for d.keeper.State() == nil || !d.hostsKnown() {
 		select {
 		case <-ctx.Done():
 			return
--- a/foxtaild/daemon/daemon_test.go
+++ b/foxtaild/daemon/daemon_test.go
@@ -26,14 +26,16 @@
 	hosts  []map[string]string
 	bundle *bundler.Bundle
 	down   bool
-	reads  int
+	// holdHosts keeps the host list back while values are served.
+	holdHosts bool
+	reads     int
 }
 
 // ServeHTTP serves a read.
 func (p *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.down || p.bundle == nil {
+	if p.down || p.bundle == nil || p.holdHosts && r.URL.Path == "/v1/hosts" {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
@@ -183,7 +185,13 @@
 		t.Error("a stale platform took version 2 back")
 	}
 	stop(daemons[2])
+	// The host list comes after the values: a host that has only these knows
+	// no peer to ask.
+	p.set(func() { p.holdHosts = true })
 	daemons[2] = launch(t, all[2])
+	await(t, "the host that started again has a configuration", func() bool { return daemons[2].keeper.State() != nil })
+	await(t, "it is given time to believe itself settled", func() bool { return time.Since(daemons[2].keeper.State().Since()) > 5*settleTick })
+	p.set(func() { p.holdHosts = false })
 	await(t, "the host that started again is ready", daemons[2].Ready)
 	if v := daemons[2].Status().Version; v != 2 {
 		t.Errorf("a host that started again is ready with version %d", v)
--- a/foxtaild/internal/keeper/keeper.go
+++ b/foxtaild/internal/keeper/keeper.go
@@ -71,6 +71,13 @@
 	return []scheduler.Host{k.self}
 }
 
+// Listed reports whether a host list has been read and passed on.
+func (k *Keeper) Listed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listed != nil
+}
+
 // Host returns a host on the newest list.
 func (k *Keeper) Host(id scheduler.HostID) (scheduler.Host, bool) {
 	return lo.Find(k.Hosts(), func(h scheduler.Host) bool { return h.ID() == id })
