platform, coordinator: fields that nothing uses taken out; the loop that owns the coordinator named so

Prompt parts travelled with every ask and were read by nobody; pools carried sizes that servers publish themselves; Put told of new processes to nobody.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -138,7 +138,7 @@
 	}
 	took := time.Since(r.Arrived)
 	n.log.Log(context.Background(), level, "request",
-		"id", r.ID, "route", r.Route.Name, "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", r.Pool,
+		"id", r.ID, "route", r.Route.Name, "kind", r.Route.Kind.String(), "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", r.Pool,
 		"outcome", outcome, "status", res.Status, "reason", n.refusal.Reason,
 		"retryAfterMs", n.refusal.RetryAfter.Milliseconds(),
 		"prompt", r.Prompt, "output", r.Output, "ageMs", r.Age.Milliseconds(),
@@ -191,7 +191,7 @@
 	g, err := n.asker.Ask(ctx, coordinator.Ask{
 		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
 		Age: r.Age + began.Sub(r.Arrived), Objective: r.Route.Objective, Left: time.Until(r.Deadline), Waited: n.queued,
-		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output, Prefix: r.Prefix,
+		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output,
 		Repeat: n.sent > 0, Exclude: n.tried, Regions: r.Regions, Digest: r.Digest,
 	})
 	n.queued += time.Since(began)
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -40,8 +40,8 @@
 	// Prompt and Output are the tokens to be read and expected to be
 	// generated; both are 0 for a plain call.
 	Prompt, Output int
-	Prefix         []coordinator.Part
-	Digest         uint64
+	// Digest identifies the request's content.
+	Digest uint64
 }
 
 // NoEvent is the After of a request that has no event yet.
--- a/foxtaild/linker/asker.go
+++ b/foxtaild/linker/asker.go
@@ -37,7 +37,7 @@
 	l.mu.Lock()
 	l.local[a.ID] = ch
 	l.mu.Unlock()
-	l.desk.take(ctx, l.settings.Host, &frame{Asks: []coordinator.Ask{a}})
+	l.loop.take(ctx, l.settings.Host, &frame{Asks: []coordinator.Ask{a}})
 	select {
 	case d = <-ch:
 		return d, nil
@@ -46,7 +46,7 @@
 	l.mu.Lock()
 	delete(l.local, a.ID)
 	l.mu.Unlock()
-	l.desk.take(l.ctx, l.settings.Host, &frame{Withdrawn: []uint64{a.ID}, Finishes: []coordinator.Finish{{ID: a.ID, Ending: coordinator.Unused}}})
+	l.loop.take(l.ctx, l.settings.Host, &frame{Withdrawn: []uint64{a.ID}, Finishes: []coordinator.Finish{{ID: a.ID, Ending: coordinator.Unused}}})
 	return d, ctx.Err()
 }
 
@@ -171,7 +171,7 @@
 // tell reports on a running request to whoever counts it.
 func (l *Linker) tell(r *granted, local bool, f frame) {
 	if local {
-		l.desk.take(l.ctx, l.settings.Host, &f)
+		l.loop.take(l.ctx, l.settings.Host, &f)
 	}
 	l.mu.Lock()
 	holders := slices.Clone(r.holders)
--- a/foxtaild/linker/doc.go
+++ b/foxtaild/linker/doc.go
@@ -6,7 +6,7 @@
 // each. Where a coordinator does not answer, the asks are decided by this
 // host's own coordinator, so that no request waits for an election.
 //
-// A goroutine for each duty: one owns the coordinator (desk.go), one the
+// A goroutine for each duty: one owns the coordinator (loop.go), one the
 // membership (gossip.go), two a link to another host (link.go), two a link
 // from one (server.go). They are joined by bounded channels.
 package linker
--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -162,5 +162,5 @@
 		f.Share = aloneShare / float64(hosts)
 		f.QuotaPart = aloneShare / float64(hosts)
 	}
-	l.desk.do(l.ctx, func(now time.Time) { l.desk.coordinator.SetFleet(f, now) })
+	l.loop.do(l.ctx, func(now time.Time) { l.loop.coordinator.SetFleet(f, now) })
 }
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -37,7 +37,7 @@
 	settings  Settings
 	directory *directory.Directory
 	log       *slog.Logger
-	desk      *desk
+	loop      *loop
 	detector  *detector.Detector
 	packets   *net.UDPConn
 	listener  net.Listener
@@ -77,7 +77,7 @@
 		settings:  s,
 		directory: d,
 		log:       log,
-		desk:      newDesk(coordinator.New(s.Process, s.Bounds), d),
+		loop:      newLoop(coordinator.New(s.Process, s.Bounds), d),
 		detector: detector.New(detector.Member{
 			ID: s.Host, Address: s.Address, Domain: s.Domain, Region: s.Region,
 			Incarnation: uint64(now.UnixMilli()),
@@ -91,7 +91,7 @@
 		started:   now,
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
-	l.desk.sinks[s.Host] = l.takeLocal
+	l.loop.sinks[s.Host] = l.takeLocal
 	l.view.Store(&view{readers: []string{s.Address}})
 	if l.packets, err = net.ListenUDP("udp4", addr); err != nil {
 		return nil, err
@@ -109,7 +109,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	l.applyFleet(l.view.Load())
-	wg.Go(func() { l.desk.run(ctx) })
+	wg.Go(func() { l.loop.run(ctx) })
 	wg.Go(func() { l.gossip(ctx) })
 	wg.Go(func() { l.serveLinks(ctx) })
 	wg.Go(func() { l.sendSummaries(ctx) })
--- a/foxtaild/linker/desk.go
+++ b/foxtaild/linker/loop.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// deskEvents bounds the events that wait for the coordinator.
-	deskEvents = 4096
-	// deskTick is the time between two looks at what waits.
-	deskTick = 20 * time.Millisecond
+	// loopEvents bounds the events that wait for the coordinator.
+	loopEvents = 4096
+	// loopTick is the time between two looks at what waits.
+	loopTick = 20 * time.Millisecond
 	// idleTick is the same while nothing waits.
 	idleTick = 200 * time.Millisecond
 )
@@ -20,8 +20,8 @@
 // sink takes the decisions for one entry. It must not block.
 type sink func([]coordinator.Decision)
 
-// desk is the goroutine that owns this host's coordinator.
-type desk struct {
+// loop is the goroutine that owns this host's coordinator.
+type loop struct {
 	coordinator *coordinator.Coordinator
 	directory   *directory.Directory
 	events      chan func(now time.Time)
@@ -32,25 +32,25 @@
 	waiting map[askKey]bool
 }
 
-// askKey identifies an ask at the desk.
+// askKey identifies an ask that has no decision yet.
 type askKey struct {
 	entry string
 	id    uint64
 }
 
-// newDesk returns a desk that must be run.
-func newDesk(c *coordinator.Coordinator, d *directory.Directory) *desk {
-	return &desk{
+// newLoop returns a loop that must be run.
+func newLoop(c *coordinator.Coordinator, d *directory.Directory) *loop {
+	return &loop{
 		coordinator: c,
 		directory:   d,
-		events:      make(chan func(time.Time), deskEvents),
+		events:      make(chan func(time.Time), loopEvents),
 		sinks:       make(map[string]sink),
 		waiting:     make(map[askKey]bool),
 	}
 }
 
-// do runs an event on the desk's goroutine, in the order of the calls.
-func (d *desk) do(ctx context.Context, event func(now time.Time)) {
+// do runs an event on the loop's goroutine, in the order of the calls.
+func (d *loop) do(ctx context.Context, event func(now time.Time)) {
 	select {
 	case d.events <- event:
 	case <-ctx.Done():
@@ -58,7 +58,7 @@
 }
 
 // run serves events until ctx ends.
-func (d *desk) run(ctx context.Context) {
+func (d *loop) run(ctx context.Context) {
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
@@ -83,14 +83,14 @@
 		d.deliver(d.coordinator.Advance(now))
 		wait := idleTick
 		if len(d.waiting) > 0 {
-			wait = deskTick
+			wait = loopTick
 		}
 		timer.Reset(wait)
 	}
 }
 
 // refresh takes over changes of the directory.
-func (d *desk) refresh(now time.Time) {
+func (d *loop) refresh(now time.Time) {
 	changes := d.directory.Changes()
 	if d.applied && changes == d.seen {
 		return
@@ -103,7 +103,7 @@
 }
 
 // deliver hands decisions to their entries.
-func (d *desk) deliver(decisions []coordinator.Decision) {
+func (d *loop) deliver(decisions []coordinator.Decision) {
 	byEntry := make(map[string][]coordinator.Decision)
 	for _, one := range decisions {
 		delete(d.waiting, askKey{one.Entry, one.ID})
@@ -117,7 +117,7 @@
 }
 
 // open makes an entry known.
-func (d *desk) open(ctx context.Context, entry string, s sink, running []coordinator.Running) {
+func (d *loop) open(ctx context.Context, entry string, s sink, running []coordinator.Running) {
 	d.do(ctx, func(now time.Time) {
 		d.coordinator.Drop(entry)
 		d.sinks[entry] = s
@@ -126,7 +126,7 @@
 }
 
 // take applies a frame of an entry.
-func (d *desk) take(ctx context.Context, entry string, f *frame) {
+func (d *loop) take(ctx context.Context, entry string, f *frame) {
 	d.do(ctx, func(now time.Time) {
 		for _, x := range f.Finishes {
 			d.coordinator.Finish(entry, x, now)
@@ -149,7 +149,7 @@
 }
 
 // close forgets an entry whose link has ended.
-func (d *desk) close(ctx context.Context, entry string) {
+func (d *loop) close(ctx context.Context, entry string) {
 	d.do(ctx, func(time.Time) {
 		d.coordinator.Drop(entry)
 		delete(d.sinks, entry)
--- a/foxtaild/linker/peers.go
+++ b/foxtaild/linker/peers.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		ready := make(chan coordinator.Summary, 1)
-		l.desk.do(ctx, func(now time.Time) { ready <- l.desk.coordinator.Summary(now) })
+		l.loop.do(ctx, func(now time.Time) { ready <- l.loop.coordinator.Summary(now) })
 		select {
 		case <-ctx.Done():
 			return
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -73,7 +73,7 @@
 		}
 		if f.Hello != nil {
 			entry = f.Hello.Entry + "#" + formatUint(links.Add(1))
-			l.desk.open(ctx, entry, func(d []coordinator.Decision) { push(response{Decisions: d}) }, f.Hello.Running)
+			l.loop.open(ctx, entry, func(d []coordinator.Decision) { push(response{Decisions: d}) }, f.Hello.Running)
 		}
 		if entry == "" {
 			l.log.Warn("link without hello", "remote", conn.RemoteAddr().String())
@@ -92,10 +92,10 @@
 			l.followers[fol] = struct{}{}
 			l.mu.Unlock()
 		}
-		l.desk.take(ctx, entry, &f)
+		l.loop.take(ctx, entry, &f)
 	}
 	if entry != "" {
-		l.desk.close(l.ctx, entry)
+		l.loop.close(l.ctx, entry)
 	}
 }
 
--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -389,3 +389,26 @@
 		})
 	}
 }
+
+// TestRestartUnderTheSameID publishes an upstream with a new time of birth:
+// what was known of its predecessor no longer counts.
+func TestRestartUnderTheSameID(t *testing.T) {
+	c := newCoordinator()
+	engines(c, 1, nil)
+	for id := range uint64(6) {
+		c.Ask("entry", ask(id), start)
+	}
+	c.Advance(start)
+	c.Finish("entry", coordinator.Finish{ID: 0, Ending: coordinator.Unreached}, start)
+	if got := c.Summary(start).Free["engines"]; got != 0 {
+		t.Fatalf("%d slots free at an upstream that takes no connection", got)
+	}
+	engines(c, 1, func(e *registrar.Entry) { e.Born = 7 })
+	if got := c.Summary(start).Free["engines"]; got != 6 {
+		t.Errorf("%d slots free at the new process, want 6", got)
+	}
+	c.Finish("entry", coordinator.Finish{ID: 1}, start)
+	if got := c.Summary(start).Free["engines"]; got != 6 {
+		t.Errorf("%d slots free after the end of a request of its predecessor, want 6", got)
+	}
+}
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -2,12 +2,6 @@
 
 import "time"
 
-// Part is one part of a prompt that engines may keep in memory.
-type Part struct {
-	Hash   uint64
-	Tokens int
-}
-
 // Ask requests one slot on an upstream of a pool. It is a message between
 // hosts as well; all times are durations, as the hosts' clocks differ.
 type Ask struct {
@@ -32,7 +26,6 @@
 	// Prompt and Output are the tokens to be read and expected to be
 	// generated; both are 0 for a plain call.
 	Prompt, Output int
-	Prefix         []Part
 	// Repeat marks a request that an upstream was already sent.
 	Repeat bool
 	// Exclude names upstreams that are not to be tried again.
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -64,18 +64,15 @@
 	r.unstable = now
 }
 
-// Put takes in an entry as it was published and reports whether the upstream
-// is a new process.
-func (r *Registrar) Put(e Entry) (fresh bool) {
+// Put takes in an entry as it was published.
+func (r *Registrar) Put(e Entry) {
 	old := r.records[e.ID]
-	fresh = old == nil || old.Born != e.Born
 	if old != nil && old.Entry == e && old.lapsesAt.IsZero() {
-		return fresh
+		return
 	}
 	r.changes++
 	r.records[e.ID] = &record{Entry: e, changed: r.changes}
 	delete(r.removed, e.ID)
-	return fresh
 }
 
 // Remove takes note that an entry vanished from the store.
--- a/scheduler/router/document.go
+++ b/scheduler/router/document.go
@@ -68,14 +68,6 @@
 // Pool describes the upstreams of one service or model.
 type Pool struct {
 	Name string
-	// Engine reports whether the upstreams are model engines.
-	Engine bool
-	// Slots is the number of requests one upstream runs at once.
-	Slots int
-	// Connections bounds the connections one upstream accepts in all.
-	Connections int
-	// WarmUp is how long an upstream stays cold after its start.
-	WarmUp time.Duration
 	// ColdRate is the rate a cold upstream tolerates, in requests a second;
 	// 0 means that it needs no care.
 	ColdRate float64
