--- /dev/null
+++ b/foxtaild/linker/bench_test.go
@@ -0,0 +1,66 @@
+package linker
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/detector"
+)
+
+// BenchmarkControlBytes reports what one request costs in bytes between its
+// entry and its coordinator, both ways, once the link has told its types.
+func BenchmarkControlBytes(b *testing.B) {
+	var up, down bytes.Buffer
+	entry, coord := gob.NewEncoder(&up), gob.NewEncoder(&down)
+	request := func(id uint64) {
+		for _, f := range []frame{
+			{Asks: []coordinator.Ask{{
+				ID: id, Pool: "stone-model", Workspace: "workspace-17", Tier: 1, Priority: 2, Objective: 600 * time.Millisecond,
+				Left: 5 * time.Second, Cost: 3400, Prompt: 2890, Output: 52, Digest: 0x1234567890abcdef,
+			}}},
+			{Progress: []coordinator.Progress{{ID: id, FirstToken: 130 * time.Millisecond}}},
+			{Finishes: []coordinator.Finish{{ID: id, FirstToken: 130 * time.Millisecond, Generating: 250 * time.Millisecond, Total: 380 * time.Millisecond, Tokens: 48}}},
+		} {
+			if err := entry.Encode(&f); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if err := coord.Encode(&response{Decisions: []coordinator.Decision{{Entry: "edge-casa-ain-sebaa-1#7", ID: id, Upstream: "i-53ebc6cf29"}}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	request(1)
+	n := uint64(100_000)
+	up.Reset()
+	down.Reset()
+	first := n
+	for b.Loop() {
+		n++
+		request(n)
+	}
+	b.ReportMetric(float64(up.Len()+down.Len())/float64(n-first), "B/request")
+}
+
+// BenchmarkMembershipBytes reports the size of a membership message in the
+// steady state.
+func BenchmarkMembershipBytes(b *testing.B) {
+	m := detector.Member{
+		ID: "edge-casa-ain-sebaa-1", Address: "10.1.0.25:7600", Domain: "casa-ain-sebaa", Region: "casablanca",
+		Incarnation: 1_790_000_000_000, Started: 1_790_000_000_000, Version: 108, Revision: 4711,
+	}
+	message := detector.Message{Seq: 4711, From: m, Members: []detector.Member{m, m}}
+	size := 0
+	for b.Loop() {
+		text, err := cbor.Marshal(message)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(text)
+	}
+	b.ReportMetric(float64(size), "B/message")
+}
