limiter, coordinator, linker: what is kept of others is bounded

Found by reading: a quota kept a figure for every process that ever reported, crashes told to others grew for good, and a request decided alone after a redirection counted its wait twice.

--- a/foxtaild/linker/asker.go
+++ b/foxtaild/linker/asker.go
@@ -105,21 +105,17 @@
 		d, via, err = l.askLink(ctx, v.coordinators[l.settings.Domain], a)
 	}
 	if err == nil && d.Domain != "" {
-		a.Redirected = true
-		waited := time.Since(began)
-		a.Age += waited
-		a.Left -= waited
-		a.Waited += waited
-		d, via, err = l.askLink(ctx, v.coordinators[d.Domain], a)
-	}
-	if err == nil && d.Domain != "" {
-		err = errLink
+		next := after(a, time.Since(began))
+		next.Redirected = true
+		d, via, err = l.askLink(ctx, v.coordinators[d.Domain], next)
+		if err == nil && d.Domain != "" {
+			err = errLink
+		}
 	}
 	if err != nil && ctx.Err() == nil {
 		l.log.Debug("deciding alone", "ask", a.ID, "error", err.Error())
 		via = nil
-		a.Waited += time.Since(began)
-		d, err = l.askLocal(ctx, a)
+		d, err = l.askLocal(ctx, after(a, time.Since(began)))
 		if err == nil && d.Domain != "" {
 			d = coordinator.Decision{ID: a.ID, Reason: coordinator.NoCapacity, RetryAfter: linkRetry}
 		}
@@ -130,6 +126,14 @@
 	return l.grant(a, d, via), nil
 }
 
+// after returns an ask as it is when it has waited for a while.
+func after(a coordinator.Ask, waited time.Duration) coordinator.Ask {
+	a.Age += waited
+	a.Left -= waited
+	a.Waited += waited
+	return a
+}
+
 // askLink asks a coordinator at an address.
 func (l *Linker) askLink(ctx context.Context, address string, a coordinator.Ask) (d coordinator.Decision, k *link, err error) {
 	if address == "" || address == l.settings.Address {
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -26,6 +26,9 @@
 	coldMargin = 0.45
 	// coldBurst is the number of requests a cold upstream may get at once.
 	coldBurst = 2
+	// maxCrashes bounds the requests that others are told of; they remember
+	// what they have heard.
+	maxCrashes = 256
 	// crashMemory is how long a broken request counts as a possible cause of
 	// the crash that is noticed after it.
 	crashMemory = 1500 * time.Millisecond
@@ -238,6 +241,9 @@
 	for _, b := range u.broken {
 		if now.Sub(b.at) < crashMemory && b.digest != 0 {
 			digests = append(digests, quarantiner.Digest(b.digest))
+			if len(c.crashes) >= maxCrashes {
+				clear(c.crashes)
+			}
 			c.crashes[b.digest]++
 		}
 	}
--- a/scheduler/limiter/limiter.go
+++ b/scheduler/limiter/limiter.go
@@ -81,7 +81,7 @@
 	rate   float64
 	burst  float64
 	used   float64
-	heard  map[string]float64
+	heard  map[string]report
 	part   float64
 }
 
@@ -95,7 +95,7 @@
 		bucket: NewBucket(rate, burst, burst*startLevel, now),
 		rate:   rate,
 		burst:  burst,
-		heard:  make(map[string]float64),
+		heard:  make(map[string]report),
 		part:   1,
 	}
 }
@@ -148,13 +148,20 @@
 // the figure that others hear.
 func (q *Quota) Used() float64 { return q.used }
 
-// Heard takes in the figure of another host's process. The first figure of a
-// process sets where counting begins.
-func (q *Quota) Heard(process string, used float64, now time.Time) {
-	before, known := q.heard[process]
-	q.heard[process] = used
-	if known && used != before {
-		q.bucket.Spend(used-before, now)
+// report is the last figure of another source.
+type report struct {
+	process string
+	used    float64
+}
+
+// Heard takes in the figure of another source, such as a failure domain, which
+// comes from one of its processes. The first figure of a process sets where
+// counting begins.
+func (q *Quota) Heard(source, process string, used float64, now time.Time) {
+	before, known := q.heard[source]
+	q.heard[source] = report{process: process, used: used}
+	if known && before.process == process && used != before.used {
+		q.bucket.Spend(used-before.used, now)
 	}
 }
 
