--- a/contract/directory.go
+++ b/contract/directory.go
@@ -43,10 +43,10 @@
 // Address returns the upstream's IP and port.
 func (m Member) Address() string { return m.spec.Address }
 
-// ColdLimit returns how many requests it bears in cold start.
+// ColdLimit returns how many requests it tolerates in cold start.
 func (m Member) ColdLimit() int { return m.spec.ColdLimit }
 
-// Limit returns how many requests it bears at most.
+// Limit returns how many requests it runs at most.
 func (m Member) Limit() int { return m.spec.Limit }
 
 // WarmUp returns how long it must answer well to get more than ColdLimit.
--- a/contract/document.go
+++ b/contract/document.go
@@ -65,9 +65,9 @@
 	Address string   `yaml:"address" json:"address"`
 	Models  []string `yaml:"models" json:"models,omitempty"`
 	Service string   `yaml:"service" json:"service,omitempty"`
-	// ColdLimit is how many requests the upstream bears in cold start.
+	// ColdLimit is how many requests the upstream tolerates in cold start.
 	ColdLimit int `yaml:"coldLimit" json:"coldLimit"`
-	// Limit is how many requests it bears at most.
+	// Limit is how many requests it runs at most.
 	Limit int `yaml:"limit" json:"limit"`
 	// WarmUpSeconds is how long it must answer well to get more than
 	// ColdLimit.
--- a/foxtaild/internal/gossiper/gossiper.go
+++ b/foxtaild/internal/gossiper/gossiper.go
@@ -29,13 +29,13 @@
 const (
 	// roundEvery is how often notes are compared with a random peer.
 	roundEvery = time.Second
-	// fanOut is to how many peers news is pushed at once.
+	// fanOut is to how many peers an update is pushed at once.
 	fanOut = 4
 	// callTime bounds a call to a peer.
 	callTime = 2 * time.Second
 	// suspectWindow is how far back suspects are told in every round.
 	suspectWindow = 10 * time.Second
-	// pushPause keeps a burst of news to one push.
+	// pushPause merges a burst of updates into one push.
 	pushPause = 20 * time.Millisecond
 	// settlePeers is how many peers a host asks when it starts or wakes up.
 	settlePeers = 16
@@ -44,14 +44,14 @@
 	history = 8
 )
 
-// Owner is the part of the owner role that takes and gives news.
+// Owner is the part of the owner role that takes and gives updates.
 type Owner interface {
 	Suspects(since time.Time) []*peerv1.Suspect
 	HeardSuspects(suspects []*peerv1.Suspect)
 	Shut(tiers []*peerv1.ShutTier)
 }
 
-// Gossiper spreads one host's news. It is safe for concurrent use.
+// Gossiper spreads one host's updates. It is safe for concurrent use.
 type Gossiper struct {
 	keeper      *keeper.Keeper
 	messenger   *messenger.Messenger
@@ -85,7 +85,7 @@
 	return g
 }
 
-// SetOwner sets the owner role that takes and gives news.
+// SetOwner sets the owner role that takes and gives updates.
 func (g *Gossiper) SetOwner(o Owner) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -110,7 +110,7 @@
 	}
 }
 
-// Run spreads news until ctx is done.
+// Run spreads updates until ctx is done.
 func (g *Gossiper) Run(ctx context.Context) {
 	round := time.NewTicker(roundEvery)
 	defer round.Stop()
--- a/foxtaild/internal/granter/granter.go
+++ b/foxtaild/internal/granter/granter.go
@@ -64,7 +64,7 @@
 // Option sets a detail of a Granter.
 type Option func(*Granter)
 
-// WithGossip sets what is called when peers should hear of news at once.
+// WithGossip sets what is called when peers should hear of an update at once.
 func WithGossip(f func()) Option {
 	return func(g *Granter) { g.gossip = f }
 }
--- a/foxtaild/internal/watcher/watcher.go
+++ b/foxtaild/internal/watcher/watcher.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// watchWait is how long one watch may wait for news.
+	// watchWait is how long one watch may wait for a change.
 	watchWait = 20 * time.Second
 	// answerTime bounds an answer beyond the wait.
 	answerTime = 3 * time.Second
@@ -39,7 +39,7 @@
 	watchersPerDomain = 2
 )
 
-// errUnchanged says that a watch ended without news.
+// errUnchanged says that a watch ended without a change.
 var errUnchanged = eris.New("unchanged")
 
 // listedHost is an entry of the platform's host list.
@@ -245,7 +245,7 @@
 	return next, err
 }
 
-// Refresh reads the configuration once, without waiting for news.
+// Refresh reads the configuration once, without waiting for a change.
 func (w *Watcher) Refresh() {
 	if _, err := w.readConfiguration("", 0); err != nil && !eris.Is(err, errUnchanged) {
 		w.log.Warn("platform read failed", "what", "configuration", "error", err.Error())
--- a/foxtailtry/world/world.go
+++ b/foxtailtry/world/world.go
@@ -180,7 +180,7 @@
 		TokenTime:       milliseconds(speed.TokenMs),
 		BatchSlowdown:   speed.BatchSlowdown,
 		ColdFor:         secondsOf(w.scenario.ColdSeconds),
-		ColdBears:       u.ColdLimit,
+		ColdLimit:       u.ColdLimit,
 		MaxBatch:        speed.MaxBatch,
 		Warm:            w.warm,
 		ReportLag:       secondsOf(w.scenario.ReportLagSeconds),
--- a/scheduler/admitter/admitter.go
+++ b/scheduler/admitter/admitter.go
@@ -100,7 +100,7 @@
 	p.displace(a, now, &o)
 	p.fill(now, &o)
 	if _, still := p.queued[a.id]; still && p.late(a, now) {
-		w.hopeless = true
+		w.infeasible = true
 		p.press(w, now, &o)
 	}
 	return o
--- a/scheduler/admitter/admitter_test.go
+++ b/scheduler/admitter/admitter_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-func TestHopelessAsksAreRefusedAtOnce(t *testing.T) {
+func TestInfeasibleAsksAreRefusedAtOnce(t *testing.T) {
 	b := newBench(2)
 	id, _ := b.ask("w", 0, time.Minute, admitter.WithTokens(10, 10))
 	b.pool.Finish(id, admitter.Complete, admitter.NewUsage(10, 500*time.Millisecond, 1500*time.Millisecond), b.now)
--- a/scheduler/admitter/length.go
+++ b/scheduler/admitter/length.go
@@ -42,7 +42,7 @@
 	return estimate - step*(1-quantile)
 }
 
-// expect returns how many tokens to reckon with for a request whose caller
+// expect returns how many tokens to expect of a request whose caller
 // allows at most limit, at the longest and for most; what the caller says is
 // taken as long as too few answers were seen.
 func (l *lengths) expect(limit int) (longest, likely int) {
--- a/scheduler/admitter/pressure.go
+++ b/scheduler/admitter/pressure.go
@@ -60,10 +60,10 @@
 }
 
 // press notes pressure at a waiting ask's tier, and refuses the ask if it is
-// hopeless and the lower tiers are known to be shut.
+// infeasible and the lower tiers are known to be shut.
 func (p *Pool) press(w *waiting, now time.Time, o *Orders) {
 	p.gate.Press(w.ask.tier, now)
-	if !w.hopeless || p.lowerWaits(w.ask.tier) || !p.gate.Permits(w.ask.tier, now) {
+	if !w.infeasible || p.lowerWaits(w.ask.tier) || !p.gate.Permits(w.ask.tier, now) {
 		return
 	}
 	p.refuse(w, Shed, now, o)
@@ -140,8 +140,8 @@
 	if w := q.oldest(); w != nil && p.tooSlow(w.ask, now.Add(pressLead)) {
 		p.gate.Press(tier, now)
 	}
-	for w := q.newest(); w != nil && w.hopeless; w = q.newest() {
-		w.hopeless = p.late(w.ask, now)
+	for w := q.newest(); w != nil && w.infeasible; w = q.newest() {
+		w.infeasible = p.late(w.ask, now)
 		before := q.length()
 		p.press(w, now, o)
 		if q.length() == before {
--- a/scheduler/admitter/queue.go
+++ b/scheduler/admitter/queue.go
@@ -13,7 +13,7 @@
 	arrival  *list.Element
 	own      *list.Element
 	expiry   *pq.Item[*waiting]
-	hopeless bool
+	infeasible bool
 }
 
 // share is one workspace's place in a tier: its asks in order of arrival and
--- a/scheduler/arbiter/arbiter.go
+++ b/scheduler/arbiter/arbiter.go
@@ -17,7 +17,7 @@
 	"foxtaillug.org/scheduler/shedder"
 )
 
-// The sources of news on upstreams that get nothing new.
+// The sources of updates on upstreams that get no new work.
 const (
 	sourceReport    = "report"
 	sourceUnreached = "unreached"
@@ -231,7 +231,7 @@
 		return o
 	}
 	switch a.suspects.Judge(r.digest, now) {
-	case quarantiner.Guilty:
+	case quarantiner.Refused:
 		o.refusals = append(o.refusals, admitter.NewRefusal(r.ask.ID(), admitter.Quarantined, 0))
 		return o
 	case quarantiner.Suspect:
--- a/scheduler/arbiter/arbiter_test.go
+++ b/scheduler/arbiter/arbiter_test.go
@@ -116,7 +116,7 @@
 
 // TestPromisesUnderRandomFaults throws random faults, several at a time, at a
 // fleet under load: no request is dispatched twice, no upstream gets more than
-// its limit or, in cold start, more than it bears, and none that was taken out
+// its limit or, in cold start, more than it tolerates, and none that was taken out
 // gets new work after three seconds.
 func TestPromisesUnderRandomFaults(t *testing.T) {
 	coldWork := 0
@@ -221,7 +221,7 @@
 	}
 }
 
-// TestWokenHostGrantsNothingUntilConfirmed pauses the only host over the news
+// TestWokenHostGrantsNothingUntilConfirmed pauses the only host over the update
 // that its upstream was taken out.
 func TestWokenHostGrantsNothingUntilConfirmed(t *testing.T) {
 	f := newFleet(1, 1, 1, 2, 8)
--- a/scheduler/arbiter/doc.go
+++ b/scheduler/arbiter/doc.go
@@ -7,7 +7,7 @@
 // clock.
 //
 // How many slots an upstream has here is the smallest of what three say:
-// ramper, what the upstream bears; leaser, what this host may use of it; and
+// ramper, what the upstream tolerates; leaser, what this host may use of it; and
 // the load reports, what others still have on it. A share that has just come
 // counts only once a load report is younger than any grant an earlier holder
 // can have made with it.
--- a/scheduler/arbiter/fleet_test.go
+++ b/scheduler/arbiter/fleet_test.go
@@ -30,7 +30,7 @@
 	maxDelay  = 20 * time.Millisecond
 	patience  = 300 * time.Millisecond
 	coldFor   = 5 * time.Second
-	// gossipEvery is how soon a host that woke up hears news by itself.
+	// gossipEvery is how soon a host that woke up hears of updates by itself.
 	gossipEvery = 500 * time.Millisecond
 	pool        = scheduler.PoolID("report")
 	region      = scheduler.RegionID("r1")
--- a/scheduler/arbiter/types.go
+++ b/scheduler/arbiter/types.go
@@ -23,7 +23,7 @@
 // UpstreamOption sets a detail of an Upstream.
 type UpstreamOption func(*Upstream)
 
-// WithLimits sets how many requests it bears in cold start and at most.
+// WithLimits sets how many requests it tolerates in cold start and at most.
 func WithLimits(cold, full int) UpstreamOption {
 	return func(u *Upstream) { u.coldLimit, u.limit = cold, full }
 }
@@ -167,7 +167,7 @@
 // Slots returns how many requests this host may have on it.
 func (s Status) Slots() int { return s.slots }
 
-// Limit returns how many it bears at present.
+// Limit returns how many it tolerates at present.
 func (s Status) Limit() int { return s.limit }
 
 // Running returns how many it has by this host's grants.
--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -206,9 +206,9 @@
 	}
 }
 
-// TestLostAnswersConvictNobody breaks answers of an upstream that lives on: no
+// TestLostAnswersRefuseNobody breaks answers of an upstream that lives on: no
 // request may be refused for it.
-func TestLostAnswersConvictNobody(t *testing.T) {
+func TestLostAnswersRefuseNobody(t *testing.T) {
 	c := newCoordinator()
 	engines(c, 1, nil)
 	for id := range uint64(20) {
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -83,7 +83,7 @@
 
 // limit checks an ask against the limits of the whole fleet and counts it.
 func (c *Coordinator) limit(p *pool, a Ask, now time.Time) (Reason, time.Duration) {
-	if c.suspects.Judge(quarantiner.Digest(a.Digest), now) == quarantiner.Guilty {
+	if c.suspects.Judge(quarantiner.Digest(a.Digest), now) == quarantiner.Refused {
 		return Quarantined, longestRetryAfter
 	}
 	if len(p.waiting) >= maxWaiting {
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -11,7 +11,7 @@
 //
 //   - placer picks the owner host that is asked for a slot;
 //   - admitter, on that owner, queues the ask by tier and grants a slot;
-//   - ramper says how many slots one upstream bears at present;
+//   - ramper says how many slots one upstream can use at present;
 //   - leaser says how many of those slots this host may hand out;
 //   - drainer says which upstreams must get nothing new;
 //   - shedder makes all owners of a pool refuse tiers from the lowest up;
--- a/scheduler/drainer/drainer.go
+++ b/scheduler/drainer/drainer.go
@@ -14,7 +14,7 @@
 // Reason says which source closed an upstream.
 type Reason int
 
-// The sources of news, in the order in which they are reported.
+// The sources of updates, in the order in which they are reported.
 const (
 	// Open means that nothing closes the upstream.
 	Open Reason = iota
--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -16,8 +16,8 @@
 	DefaultMemory = 30 * time.Minute
 	// DefaultCapacity bounds the number of digests remembered.
 	DefaultCapacity = 16384
-	// Convicted is the number of crashes after which a digest is refused.
-	Convicted = 2
+	// RefusedAfter is the number of crashes after which a digest is refused.
+	RefusedAfter = 2
 )
 
 // Digest is a keyed hash of a request's model and body.
@@ -32,8 +32,8 @@
 	Clean Verdict = iota
 	// Suspect requests run one at a time on an upstream.
 	Suspect
-	// Guilty requests are refused, not run.
-	Guilty
+	// Refused requests are refused, not run.
+	Refused
 )
 
 // record is what is remembered of one digest.
@@ -82,8 +82,8 @@
 	switch {
 	case !ok || now.Sub(r.last) >= q.memory:
 		return Clean
-	case r.crashes >= Convicted:
-		return Guilty
+	case r.crashes >= RefusedAfter:
+		return Refused
 	default:
 		return Suspect
 	}
@@ -94,7 +94,7 @@
 func (q *Quarantiner) Crashed(inflight []Digest, now time.Time) {
 	for _, d := range inflight {
 		if q.Judge(d, now) == Suspect {
-			q.put(d, Convicted, now)
+			q.put(d, RefusedAfter, now)
 			return
 		}
 	}
@@ -108,7 +108,7 @@
 // Heard merges what a peer knows of a digest; the higher count wins.
 func (q *Quarantiner) Heard(d Digest, crashes int, last time.Time) {
 	r := q.records[d]
-	q.put(d, max(r.crashes, min(crashes, Convicted)), latest(r.last, last))
+	q.put(d, max(r.crashes, min(crashes, RefusedAfter)), latest(r.last, last))
 }
 
 // latest returns the later of two times.
--- a/scheduler/quarantiner/quarantiner_test.go
+++ b/scheduler/quarantiner/quarantiner_test.go
@@ -16,9 +16,9 @@
 	os.Exit(m.Run())
 }
 
-// TestSecondCrashConvictsOnlyTheSuspect crashes upstreams under random
+// TestSecondCrashRefusesOnlyTheSuspect crashes upstreams under random
 // neighbours; one digest is there each time, and it alone is refused.
-func TestSecondCrashConvictsOnlyTheSuspect(t *testing.T) {
+func TestSecondCrashRefusesOnlyTheSuspect(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const poison = quarantiner.Digest(1)
 		now := time.Unix(1000, 0)
@@ -35,11 +35,11 @@
 			t.Fatal("not suspected after one crash")
 		}
 		q.Crashed(neighbours(200), now.Add(time.Second))
-		if q.Judge(poison, now) != quarantiner.Guilty {
+		if q.Judge(poison, now) != quarantiner.Refused {
 			t.Fatal("not refused after two crashes")
 		}
 		for d := quarantiner.Digest(100); d < 220; d++ {
-			if q.Judge(d, now) == quarantiner.Guilty {
+			if q.Judge(d, now) == quarantiner.Refused {
 				t.Fatalf("neighbour %d is refused", d)
 			}
 		}
@@ -54,8 +54,8 @@
 		want quarantiner.Verdict
 	}{
 		"never seen":          {do: func(*quarantiner.Quarantiner) {}, want: quarantiner.Clean},
-		"told by a peer":      {do: func(q *quarantiner.Quarantiner) { q.Heard(1, 2, now) }, want: quarantiner.Guilty},
-		"peer knows less":     {do: func(q *quarantiner.Quarantiner) { q.Heard(1, 2, now); q.Heard(1, 1, now) }, want: quarantiner.Guilty},
+		"told by a peer":      {do: func(q *quarantiner.Quarantiner) { q.Heard(1, 2, now) }, want: quarantiner.Refused},
+		"peer knows less":     {do: func(q *quarantiner.Quarantiner) { q.Heard(1, 2, now); q.Heard(1, 1, now) }, want: quarantiner.Refused},
 		"after the memory":    {do: func(q *quarantiner.Quarantiner) { q.Heard(1, 2, now) }, at: time.Minute, want: quarantiner.Clean},
 		"pushed out by later": {do: func(q *quarantiner.Quarantiner) { q.Heard(1, 2, now); q.Heard(2, 1, now); q.Heard(3, 1, now) }, want: quarantiner.Clean},
 	}
--- a/scheduler/ramper/ramper.go
+++ b/scheduler/ramper/ramper.go
@@ -1,4 +1,4 @@
-// Package ramper decides how many requests one upstream bears at present.
+// Package ramper decides how many requests one upstream tolerates at present.
 //
 // An upstream is cold until it has shown otherwise: it gets its declared cold
 // limit and no more. Successes over the warm-up time raise the limit step by
@@ -161,7 +161,7 @@
 
 // Reported takes note of a load report; older ones than the newest are
 // ignored. One that calls a cold upstream warm, and is younger than its last
-// crash, lets the limit grow from the load it was seen to bear.
+// crash, lets the limit grow from the load it was seen to carry.
 func (r *Ramper) Reported(p Report, now time.Time) {
 	if p.taken.Before(r.reportedAt) {
 		return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -27,9 +27,9 @@
 	BatchSlowdown float64
 	// ColdFor is how long a cold start lasts.
 	ColdFor time.Duration
-	// ColdBears is how many requests a cold engine bears without falling
+	// ColdLimit is how many requests a cold engine tolerates without falling
 	// over.
-	ColdBears int
+	ColdLimit int
 	// MaxBatch bounds the requests computed at a time; the others wait inside
 	// the engine in order of arrival. 0 is no bound.
 	MaxBatch int
@@ -224,7 +224,7 @@
 	if now.Before(e.coldUntil) {
 		e.stats.MaxCold = max(e.stats.MaxCold, e.stats.Running)
 	}
-	if now.Before(e.coldUntil) && e.stats.Running > e.cfg.ColdBears {
+	if now.Before(e.coldUntil) && e.stats.Running > e.cfg.ColdLimit {
 		e.stats.Overloads++
 		e.stats.Crashes++
 		e.restart(now)
--- a/standin/main.go
+++ b/standin/main.go
@@ -33,7 +33,7 @@
 	TokenTime    time.Duration `help:"Time between tokens." default:"10ms"`
 	Slowdown     float64       `help:"Part by which each request in the batch slows all." default:"0.05"`
 	ColdFor      time.Duration `help:"Length of a cold start." default:"2s"`
-	ColdBears    int           `help:"Requests borne in cold start." default:"2"`
+	ColdLimit    int           `help:"Requests tolerated in cold start." default:"2"`
 	ReportLag    time.Duration `help:"Age of load reports." default:"200ms"`
 	PoisonMarker string        `help:"Text that crashes the engine."`
 	Seed         uint64        `help:"Seed of epochs." default:"1"`
@@ -44,7 +44,7 @@
 	return engine.New(engine.Config{
 		Name: c.Name, Model: c.Model,
 		PrefillPerToken: c.Prefill, TokenTime: c.TokenTime, BatchSlowdown: c.Slowdown,
-		ColdFor: c.ColdFor, ColdBears: c.ColdBears, ReportLag: c.ReportLag,
+		ColdFor: c.ColdFor, ColdLimit: c.ColdLimit, ReportLag: c.ReportLag,
 		CacheBlocks: defaultCacheBlocks, PoisonMarker: c.PoisonMarker, Seed: c.Seed,
 	}).Handler(), nil
 }
