--- a/scheduler/admitter/queue.go
+++ b/scheduler/admitter/queue.go
@@ -9,10 +9,10 @@
 
 // waiting is an ask in the queue with its handles.
 type waiting struct {
-	ask      Ask
-	arrival  *list.Element
-	own      *list.Element
-	expiry   *pq.Item[*waiting]
+	ask        Ask
+	arrival    *list.Element
+	own        *list.Element
+	expiry     *pq.Item[*waiting]
 	infeasible bool
 }
 
