detector: hosts agree on the eldest of each domain soon, however many change at once

The eldest live host of a domain coordinates it, so hosts that are wrong about it decide alone. A host that started again under its name counted as known and got no introduction; an introduction named random members, dead ones among them; and 100 changes at once queue up, as a message carries 12.

Change: messages carry a digest of whom the sender takes for the eldest. Who differs is told whom the other means, and tells the eldest members it believes in, which are corrected where the other knows better. Introductions go to every new process and name live members, the eldest first. Changes told least travel first. A host pings every 0.1 s in its first 2 s.

Ruled out: naming the eldest in every message, which would cost 200 bytes where the digest costs 10; more changes in a message.

Test: TestHostsAgreeOnTheEldest, bounds from the operators' 3 s for a change and 12 s for a recovery.

--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -33,6 +33,9 @@
 	fresh, sample, youngSample = 12, 2, 16
 	// youngTime is how long a host counts as just started.
 	youngTime = 8 * time.Second
+	// joinTime is how long a host that has just started pings at joinPeriod, so
+	// that hosts which start together soon know the eldest of them.
+	joinTime = 2 * time.Second
 )
 
 // entry is a member with what this host keeps of it.
@@ -71,6 +74,12 @@
 	nextPing            time.Time
 	nextHeal            time.Time
 	changes             uint64
+	// digest is that of the eldest at a count of changes.
+	digest          uint64
+	digestedChanges uint64
+	// disputed is a failure domain in which this host believes in older members
+	// than the last host heard, "" if there is none.
+	disputed string
 }
 
 // New returns a detector that knows only itself and the addresses of some
@@ -147,7 +156,7 @@
 	packets = d.checkProbes(now, packets)
 	d.expire(now)
 	if !now.Before(d.nextPing) {
-		d.nextPing = now.Add(period)
+		d.nextPing = now.Add(d.pingPeriod())
 		if e := d.nextMember(); e != nil {
 			packets = append(packets, d.ping(e.Address, e.ID, now))
 		}
@@ -163,13 +172,25 @@
 	return packets
 }
 
+// pingPeriod returns the time between two pings.
+func (d *Detector) pingPeriod() time.Duration {
+	if d.lastTick.Sub(d.firstTick) < joinTime {
+		return joinPeriod
+	}
+	return period
+}
+
 // ping makes a ping. A ping with an id is a probe whose answer counts.
 func (d *Detector) ping(to, id string, now time.Time) Packet {
 	d.seq++
 	if id != "" {
 		d.probes[d.seq] = probe{id: id, at: now}
 	}
-	return Packet{To: to, Message: Message{Kind: Ping, Seq: d.seq, From: d.self, Members: d.piggyback()}}
+	list := d.piggyback()
+	if d.disputed != "" {
+		list = append(list, d.byAgeIn(d.disputed)...)
+	}
+	return Packet{To: to, Message: Message{Kind: Ping, Seq: d.seq, From: d.self, Members: list, Eldest: d.eldestDigest()}}
 }
 
 // nextMember returns the member whose turn it is to be pinged.
@@ -269,17 +290,24 @@
 	if m.From.ID == d.self.ID && m.From.Started == d.self.Started {
 		return nil
 	}
-	known := d.members[m.From.ID] != nil
+	former := d.members[m.From.ID]
+	known := former != nil && former.Started == m.From.Started
+	corrections := d.corrections(m.Members)
 	d.merge(m.From, now, true)
 	for _, member := range m.Members {
 		d.merge(member, now, false)
 	}
+	d.dispute(m)
 	switch m.Kind {
 	case Ping:
-		ack := Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: d.piggyback()}
-		if !known {
+		ack := Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: d.piggyback(), Eldest: d.eldestDigest()}
+		switch {
+		case !known:
 			ack.Members = d.some(m.From.Domain)
+		case m.Eldest != d.eldestDigest():
+			ack.Members = append(ack.Members, d.eldest(m.From.Domain)...)
 		}
+		ack.Members = append(ack.Members, corrections...)
 		if e := d.members[m.From.ID]; e != nil && e.Status != Alive {
 			ack.Members = append(ack.Members, e.Member)
 		}
--- a/scheduler/detector/detector_test.go
+++ b/scheduler/detector/detector_test.go
@@ -39,14 +39,18 @@
 	loss  float64
 	sent  int
 	clock uint64
+	// at finds hosts by their address.
+	at map[string]*node
 }
 
 // newFleet returns n hosts in three failure domains, all just started, that
 // know the first three at most.
 func newFleet(n int) *fleet {
-	f := &fleet{now: start, rand: rand.New(rand.NewPCG(1, 2)), clock: 1000}
+	f := &fleet{now: start, rand: rand.New(rand.NewPCG(1, 2)), clock: 1000, at: make(map[string]*node)}
 	for i := range n {
-		f.nodes = append(f.nodes, &node{address: fmt.Sprintf("10.0.0.%d:7", i), domain: fmt.Sprint("d", i%3)})
+		x := &node{address: fmt.Sprintf("10.0.0.%d:7", i), domain: fmt.Sprint("d", i%3)}
+		f.nodes = append(f.nodes, x)
+		f.at[x.address] = x
 	}
 	for i := range f.nodes {
 		f.boot(i)
@@ -95,14 +99,7 @@
 }
 
 // node returns the host at an address.
-func (f *fleet) node(address string) *node {
-	for _, n := range f.nodes {
-		if n.address == address {
-			return n
-		}
-	}
-	return nil
-}
+func (f *fleet) node(address string) *node { return f.at[address] }
 
 // alive returns how many others a host believes alive.
 func alive(n *node) (count int) {
@@ -283,3 +280,102 @@
 		t.Errorf("%.1f packets a second with 9 hosts, %.1f with 120", small, large)
 	}
 }
+
+// eldest returns whom a host takes for the eldest of a failure domain.
+func eldest(n *node, domain string) (best detector.Member) {
+	for _, m := range append(n.Members(), n.Self()) {
+		if m.Domain == domain && m.Status < detector.Dead && (best.ID == "" || m.Older(best)) {
+			best = m
+		}
+	}
+	return best
+}
+
+// disagreeing returns how many hosts are wrong about the eldest of their own
+// failure domain, and of any.
+func (f *fleet) disagreeing() (own, all int) {
+	truth := make(map[string]detector.Member)
+	for _, n := range f.nodes {
+		if e, ok := truth[n.domain]; n.running && (!ok || n.Self().Older(e)) {
+			truth[n.domain] = n.Self()
+		}
+	}
+	for _, n := range f.nodes {
+		for domain, want := range truth {
+			if n.running && eldest(n, domain).ID != want.ID {
+				all++
+				if domain == n.domain {
+					own++
+				}
+			}
+		}
+	}
+	return own, all
+}
+
+// TestHostsAgreeOnTheEldest starts many hosts at once, for the first time, all
+// again after they were killed, and those of one failure domain that was lost.
+// The eldest of a failure domain decides for it, so a host that is wrong about
+// it decides alone.
+func TestHostsAgreeOnTheEldest(t *testing.T) {
+	const (
+		// ownBound is the operators' bound for a change to be in force.
+		ownBound = 3 * time.Second
+		// allBound is the operators' bound for a recovery.
+		allBound = 12 * time.Second
+		step     = 240 * time.Millisecond
+	)
+	restart := func(f *fleet, domain string) {
+		for _, i := range f.rand.Perm(len(f.nodes)) {
+			if domain == "" || f.nodes[i].domain == domain {
+				f.boot(i)
+			}
+		}
+	}
+	tests := map[string]struct {
+		hosts int
+		event func(f *fleet)
+	}{
+		"30 started":         {30, func(f *fleet) { restart(f, "") }},
+		"300 started":        {300, func(f *fleet) { restart(f, "") }},
+		"100 killed":         {100, func(f *fleet) { f.run(2 * time.Second); restart(f, "") }},
+		"300 killed":         {300, func(f *fleet) { f.run(2 * time.Second); restart(f, "") }},
+		"100, a domain lost": {100, func(f *fleet) { f.lose("d1", 1500*time.Millisecond); restart(f, "d1") }},
+		"300, a domain lost": {300, func(f *fleet) { f.lose("d1", 1500*time.Millisecond); restart(f, "d1") }},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(x.hosts)
+			x.event(f)
+			ownAt, from := time.Duration(-1), f.now
+			for {
+				f.run(step)
+				passed := f.now.Sub(from)
+				own, all := f.disagreeing()
+				if own == 0 && ownAt < 0 {
+					ownAt = passed
+				}
+				if all == 0 {
+					t.Logf("agreed on their own after %v, on all after %v", ownAt, passed)
+					if ownAt > ownBound {
+						t.Errorf("hosts agree on their own eldest after %v, want %v", ownAt, ownBound)
+					}
+					return
+				}
+				if passed > allBound {
+					t.Fatalf("after %v hosts are wrong about %d eldest members, %d of them their own", passed, all, own)
+				}
+			}
+		})
+	}
+}
+
+// lose stops the hosts of a failure domain for a time, after they have run.
+func (f *fleet) lose(domain string, d time.Duration) {
+	f.run(2 * time.Second)
+	for _, n := range f.nodes {
+		n.running = n.running && n.domain != domain
+	}
+	f.run(d)
+}
--- a/scheduler/detector/member.go
+++ b/scheduler/detector/member.go
@@ -1,5 +1,7 @@
 package detector
 
+import "cmp"
+
 // Status is what is believed of a member.
 type Status uint8
 
@@ -30,6 +32,11 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Older reports whether a member's process has run longer than another's.
+func (m Member) Older(o Member) bool {
+	return cmp.Or(cmp.Compare(m.Started, o.Started), cmp.Compare(m.ID, o.ID)) < 0
+}
+
 // Kind is the kind of a message.
 type Kind uint8
 
@@ -48,6 +55,9 @@
 	From Member `cbor:"3,keyasint"`
 	// Target is the address to be pinged for the sender.
 	Target string `cbor:"4,keyasint,omitempty"`
+	// Eldest is a digest of who the sender believes to be the eldest of each
+	// failure domain.
+	Eldest uint64 `cbor:"6,keyasint,omitempty"`
 	// Members are what the sender believes of others.
 	Members []Member `cbor:"5,keyasint,omitempty"`
 }
--- a/scheduler/detector/spread.go
+++ b/scheduler/detector/spread.go
@@ -2,8 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // pick returns up to n random live members other than one.
@@ -38,15 +42,20 @@
 }
 
 // piggyback returns the members that travel with a message: those changed
-// last, and a few random ones.
+// last, the least told first, and a few random ones.
 func (d *Detector) piggyback() (list []Member) {
 	ids := d.shuffled()
+	changed := make([]*entry, 0, len(ids))
 	for _, id := range ids {
-		if e := d.members[id]; e.passes < spread && len(list) < fresh {
-			e.passes++
-			list = append(list, e.Member)
+		if e := d.members[id]; e.passes < spread {
+			changed = append(changed, e)
 		}
 	}
+	slices.SortStableFunc(changed, func(a, b *entry) int { return cmp.Compare(a.passes, b.passes) })
+	for _, e := range changed[:min(fresh, len(changed))] {
+		e.passes++
+		list = append(list, e.Member)
+	}
 	n := sample
 	if d.lastTick.Sub(d.firstTick) < youngTime {
 		n = youngSample
@@ -57,18 +66,136 @@
 	return list
 }
 
-// introduction is the number of members told to a host that joins.
-const introduction = 40
+const (
+	// introduction is the number of members told to a host that joins.
+	introduction = 40
+	// disputedSample is the number of members told to have them corrected.
+	disputedSample = 16
+)
 
-// some returns members for a host that joins: those of its own failure domain
-// first, then random ones.
+// some returns live members for a host that joins: the eldest of each failure
+// domain, those of its own domain by age, then random ones.
 func (d *Detector) some(domain string) (list []Member) {
-	ids := d.shuffled()
-	slices.SortStableFunc(ids, func(a, b string) int {
-		return cmp.Compare(distance(d.members[a], domain), distance(d.members[b], domain))
+	list = d.eldest(domain)
+	told := make(map[string]bool, introduction)
+	for _, m := range list {
+		told[m.ID] = true
+	}
+	rest := make([]*entry, 0, len(d.members))
+	for _, id := range d.shuffled() {
+		if e := d.members[id]; e.Status == Alive && !told[id] {
+			rest = append(rest, e)
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b *entry) int {
+		if c := cmp.Compare(distance(a, domain), distance(b, domain)); c != 0 || a.Domain != domain {
+			return c
+		}
+		return cmp.Compare(a.Started, b.Started)
 	})
-	for _, id := range ids[:min(introduction, len(ids))] {
-		list = append(list, d.members[id].Member)
+	for _, e := range rest[:min(introduction, len(rest))] {
+		list = append(list, e.Member)
+	}
+	return list
+}
+
+// eldest returns the eldest live member of each failure domain, this host
+// among them, and the second eldest of one domain.
+func (d *Detector) eldest(domain string) (list []Member) {
+	first := make(map[string]Member)
+	second := Member{}
+	consider := func(m Member) {
+		if m.Status >= Dead || m.Leaving {
+			return
+		}
+		e, ok := first[m.Domain]
+		switch {
+		case !ok || m.Older(e):
+			first[m.Domain] = m
+			if m.Domain == domain {
+				second = e
+			}
+		case m.Domain == domain && (second.ID == "" || m.Older(second)):
+			second = m
+		}
+	}
+	consider(d.self)
+	for _, e := range d.members {
+		consider(e.Member)
+	}
+	for _, name := range slices.Sorted(maps.Keys(first)) {
+		list = append(list, first[name])
+	}
+	if second.ID != "" {
+		list = append(list, second)
+	}
+	return list
+}
+
+// eldestDigest returns a digest of the eldest members. Hosts whose digests
+// differ tell each other whom they mean, so that all soon agree on them
+// however many members have changed at once.
+func (d *Detector) eldestDigest() uint64 {
+	if d.digest == 0 || d.digestedChanges != d.changes {
+		var h xxhash.Digest
+		h.Reset()
+		for _, m := range d.eldest("") {
+			// Writing to a digest can't fail.
+			_, _ = fmt.Fprintf(&h, "%s %s %d\n", m.Domain, m.ID, m.Started)
+		}
+		d.digest, d.digestedChanges = h.Sum64()|1, d.changes
+	}
+	return d.digest
+}
+
+// dispute notes in which failure domain this host believes in older members
+// than a message's sender, which may know that they are gone.
+func (d *Detector) dispute(m Message) {
+	if m.Eldest == 0 {
+		return
+	}
+	d.disputed = ""
+	if m.Eldest == d.eldestDigest() {
+		return
+	}
+	told := make(map[string]Member)
+	for _, x := range append(slices.Clone(m.Members), m.From) {
+		if e, ok := told[x.Domain]; x.Status < Dead && (!ok || x.Older(e)) {
+			told[x.Domain] = x
+		}
+	}
+	for _, own := range d.eldest("") {
+		if x, ok := told[own.Domain]; ok && own.ID != d.self.ID && own.Older(x) {
+			d.disputed = own.Domain
+		}
+	}
+}
+
+// byAgeIn returns the eldest members of a failure domain, which others may
+// correct.
+func (d *Detector) byAgeIn(domain string) (list []Member) {
+	for _, e := range d.members {
+		if e.Domain == domain && e.Status < Dead {
+			list = append(list, e.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int {
+		if a.Older(b) {
+			return -1
+		}
+		return 1
+	})
+	return list[:min(disputedSample, len(list))]
+}
+
+// corrections returns what is known better of members than told: of processes
+// that have started anew, or are gone.
+func (d *Detector) corrections(told []Member) (list []Member) {
+	for _, m := range told {
+		e := d.members[m.ID]
+		if e != nil && (e.Incarnation > m.Incarnation || e.Incarnation == m.Incarnation && e.Status > m.Status) {
+			list = append(list, e.Member)
+		}
 	}
 	return list
 }
