linker: a change is encoded once for all followers; views are derived once a tick

The view of the fleet was derived anew for each datagram that changed anything, and the coordinator was told each time.

Change: followers at one mark share one encoded update, made without the lock; a write's time follows its size; the view is derived at most once a tick, and the coordinator is told if it differs.

Test: TestFollowersShareOneEncoding.

--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -61,7 +62,7 @@
 		return m.Domain != domain || m.Status != detector.Alive || m.Leaving
 	})
 	slices.SortFunc(live, func(a, b detector.Member) int {
-		if older(a, b) {
+		if a.Older(b) {
 			return -1
 		}
 		return 1
@@ -86,20 +87,58 @@
 	}
 }
 
-// feedAll tells each follower what it has not been told.
+// update is what followers at one mark are told.
+type update struct {
+	snapshot []byte
+	next     directory.Mark
+}
+
+// feedAll tells each follower what it has not been told. Followers that were
+// told the same so far share one encoded update, as all of a failure domain
+// may have started at once.
 func (l *Linker) feedAll(now time.Time) {
 	current := l.view.Load().reads(l.settings.Address)
 	age := now.Sub(l.directory.Answered())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for f := range l.followers {
-		s, mark, ok := l.directory.Snapshot(f.mark, now)
-		if ok && f.push(response{Snapshot: &s, Current: current, Age: age}) {
-			f.mark, f.beat = mark, now
-		} else if !ok && current && now.Sub(f.beat) >= feedBeat && f.push(response{Current: true, Age: age}) {
-			f.beat = now
+	updates := make(map[directory.Mark]update)
+	for _, f := range l.listFollowers() {
+		u, known := updates[f.mark]
+		if !known {
+			u = l.update(f.mark, now)
+			updates[f.mark] = u
 		}
+		switch {
+		case u.snapshot != nil:
+			if f.push(response{Snapshot: u.snapshot, Current: current, Age: age}) {
+				f.mark, f.beat = u.next, now
+			}
+		case current && now.Sub(f.beat) >= feedBeat:
+			if f.push(response{Current: true, Age: age}) {
+				f.beat = now
+			}
+		}
+	}
+}
+
+// update returns what a follower at a mark has not been told; its snapshot is
+// nil if there is nothing.
+func (l *Linker) update(m directory.Mark, now time.Time) (u update) {
+	s, next, ok := l.directory.Snapshot(m, now)
+	if !ok {
+		return u
 	}
+	b, err := encodeSnapshot(s)
+	if err != nil {
+		l.log.Error("followers not told", "error", err.Error())
+		return u
+	}
+	return update{snapshot: b, next: next}
+}
+
+// listFollowers returns the links that are told of changes.
+func (l *Linker) listFollowers() []*follower {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.followers))
 }
 
 // follow keeps this host told by the readers of its failure domain.
@@ -133,7 +172,11 @@
 func (l *Linker) takeFeed(r response) {
 	now := time.Now()
 	if r.Snapshot != nil {
-		if err := l.directory.Adopt(*r.Snapshot, now); err != nil {
+		s, err := decodeSnapshot(r.Snapshot)
+		if err == nil {
+			err = l.directory.Adopt(s, now)
+		}
+		if err != nil {
 			l.log.Error("snapshot refused", "error", err.Error())
 			return
 		}
--- /dev/null
+++ b/foxtaild/linker/feed_test.go
@@ -0,0 +1,103 @@
+package linker
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"foxtaillug.org/foxtaild/directory"
+	"foxtaillug.org/scheduler/registrar"
+	"foxtaillug.org/scheduler/router"
+)
+
+// filledDirectory returns a directory of n upstreams.
+func filledDirectory(t testing.TB, n int) *directory.Directory {
+	t.Helper()
+	d := directory.New(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err := d.Configure(router.Document{Version: 1, Pools: []router.Pool{{Name: "engines"}}}); err != nil {
+		t.Fatal(err)
+	}
+	d.Update(1, func(r *registrar.Registrar) {
+		for i := range n {
+			r.Put(registrar.Entry{ID: fmt.Sprintf("i-%010x", i), Pool: "engines", Domain: "d", Slots: 6, Address: "10.5.64.25:8104"})
+		}
+	})
+	d.Listed()
+	return d
+}
+
+// fedLinker returns a linker with followers that take everything.
+func fedLinker(d *directory.Directory, followers int) (l *Linker, told map[*follower][]response) {
+	l = &Linker{directory: d, log: slog.New(slog.NewTextHandler(io.Discard, nil)), followers: make(map[*follower]struct{})}
+	l.view.Store(&view{})
+	told = make(map[*follower][]response)
+	for range followers {
+		f := &follower{}
+		f.push = func(r response) bool {
+			told[f] = append(told[f], r)
+			return true
+		}
+		l.followers[f] = struct{}{}
+	}
+	return l, told
+}
+
+// TestFollowersShareOneEncoding has many hosts of a failure domain start at
+// once: what they are told is encoded once, and a change after it too.
+func TestFollowersShareOneEncoding(t *testing.T) {
+	d := filledDirectory(t, 300)
+	l, told := fedLinker(d, 40)
+	now := time.Now()
+	l.feedAll(now)
+	d.Update(2, func(r *registrar.Registrar) { r.Remove("i-0000000001", now) })
+	l.feedAll(now.Add(feedTick))
+	shared := make(map[int]*byte)
+	for _, got := range told {
+		if len(got) != 2 {
+			t.Fatalf("%d updates, want 2", len(got))
+		}
+		for i, r := range got {
+			if shared[i] == nil {
+				shared[i] = &r.Snapshot[0]
+			}
+			if shared[i] != &r.Snapshot[0] {
+				t.Fatalf("update %d was encoded more than once", i)
+			}
+		}
+	}
+	for _, got := range told {
+		fresh := directory.New(l.log)
+		for _, r := range got {
+			s, err := decodeSnapshot(r.Snapshot)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := fresh.Adopt(s, now); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if want, n := len(d.Usables(now)), len(fresh.Usables(now)); n != want {
+			t.Errorf("a follower knows %d upstreams, want %d", n, want)
+		}
+		break
+	}
+}
+
+// BenchmarkFeed tells a change to the hosts of a failure domain, each of which
+// knows all else.
+func BenchmarkFeed(b *testing.B) {
+	d := filledDirectory(b, 3000)
+	l, told := fedLinker(d, 100)
+	now, revision := time.Now(), uint64(1)
+	l.feedAll(now)
+	for b.Loop() {
+		revision++
+		d.Update(revision, func(r *registrar.Registrar) {
+			r.Put(registrar.Entry{ID: "i-new", Pool: "engines", Domain: "d", Slots: 6, Born: int64(revision)})
+		})
+		clear(told)
+		l.feedAll(now)
+	}
+}
--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -20,6 +21,9 @@
 	// aloneShare is the part of a host's limits that it uses while it decides
 	// alone, beside what a coordinator may use.
 	aloneShare = 0.25
+	// viewPeriod is the least time between two derivations of the view: a tick
+	// of the membership protocol, which derives what came in between.
+	viewPeriod = gossipTick
 )
 
 // view is what is derived from membership.
@@ -38,13 +42,14 @@
 // reads reports whether the host at an address reads the store.
 func (v *view) reads(address string) bool { return slices.Contains(v.readers, address) }
 
-// viewFleet derives a new view when membership has changed.
-func (l *Linker) viewFleet() {
-	settled := l.settled(time.Now())
-	if c := l.detector.Changes(); c == l.seen && settled == l.wasSettled {
+// viewFleet derives a new view when membership has changed, after a start of
+// many hosts not for each of them.
+func (l *Linker) viewFleet(now time.Time) {
+	settled := l.settled(now)
+	if c := l.detector.Changes(); c == l.seen && settled == l.wasSettled || now.Sub(l.viewed) < viewPeriod {
 		return
 	}
-	l.seen, l.wasSettled = l.detector.Changes(), settled
+	l.seen, l.wasSettled, l.viewed = l.detector.Changes(), settled, now
 	old := l.view.Load()
 	v := l.derive()
 	l.view.Store(v)
@@ -64,7 +69,7 @@
 		if m.Status >= detector.Dead || m.Leaving {
 			continue
 		}
-		if o, ok := oldest[m.Domain]; !ok || older(m, o) {
+		if o, ok := oldest[m.Domain]; !ok || m.Older(o) {
 			oldest[m.Domain] = m
 		}
 	}
@@ -82,11 +87,6 @@
 	return len(l.settings.Contacts) == 0 || now.Sub(l.started) >= settleTime
 }
 
-// older reports whether a process has run longer than another.
-func older(a, b detector.Member) bool {
-	return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.ID, b.ID)) < 0
-}
-
 // scope returns the failure domains whose upstreams this host's domain
 // coordinates: its own, and those without a live host that it is first to
 // take over.
@@ -162,5 +162,9 @@
 		f.Share = aloneShare / float64(hosts)
 		f.QuotaPart = aloneShare / float64(hosts)
 	}
+	if reflect.DeepEqual(f, l.applied) {
+		return
+	}
+	l.applied = f
 	l.loop.do(l.ctx, func(now time.Time) { l.loop.coordinator.SetFleet(f, now) })
 }
--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -77,7 +77,7 @@
 			l.detector.Announce(version, l.directory.Revision())
 			l.sendPackets(l.detector.Tick(time.Now()))
 		}
-		l.viewFleet()
+		l.viewFleet(time.Now())
 	}
 }
 
--- a/foxtaild/linker/link.go
+++ b/foxtaild/linker/link.go
@@ -27,6 +27,9 @@
 	linkRetry = 250 * time.Millisecond
 	// linkBuffer is the size of a link's write buffer, in bytes.
 	linkBuffer = 4 << 10
+	// slowLink is the rate at which a snapshot is sent at the least, in bytes a
+	// second: a tenth of the operators' slowest links.
+	slowLink = 128 << 10
 )
 
 // errLink marks a coordinator that does not answer.
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -44,8 +44,11 @@
 	listener  net.Listener
 	view      atomic.Pointer[view]
 	seen      uint64
-	// wasSettled reports whether the view was derived after settleTime.
+	// wasSettled reports whether the view was derived after settleTime, viewed
+	// is when it was, and applied is what the coordinator was told of it.
 	wasSettled bool
+	viewed     time.Time
+	applied    coordinator.Fleet
 	seq        atomic.Uint64
 	leaving    chan struct{}
 	// ctx ends with Run; cancel ends it.
--- a/foxtaild/linker/messages.go
+++ b/foxtaild/linker/messages.go
@@ -1,8 +1,12 @@
 package linker
 
 import (
+	"bytes"
+	"encoding/gob"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/coordinator"
 )
@@ -33,9 +37,24 @@
 // response is what a coordinator sends back.
 type response struct {
 	Decisions []coordinator.Decision
-	Snapshot  *directory.Snapshot
+	// Snapshot is an encoded directory.Snapshot: it is encoded once, however
+	// many hosts it is sent to.
+	Snapshot []byte
 	// Current says that the receiver has been told everything that the sender
 	// read from the store, whose last answer came Age ago.
 	Current bool
 	Age     time.Duration
 }
+
+// encodeSnapshot encodes a snapshot by itself.
+func encodeSnapshot(s directory.Snapshot) (b []byte, err error) {
+	var buf bytes.Buffer
+	err = gob.NewEncoder(&buf).Encode(&s)
+	return buf.Bytes(), eris.Wrap(err, "encode a snapshot")
+}
+
+// decodeSnapshot is the inverse of encodeSnapshot.
+func decodeSnapshot(b []byte) (s directory.Snapshot, err error) {
+	err = gob.NewDecoder(bytes.NewReader(b)).Decode(&s)
+	return s, eris.Wrap(err, "decode a snapshot")
+}
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -83,8 +83,8 @@
 			push(response{})
 		}
 		if f.Fetch {
-			if s, _, ok := l.directory.Snapshot(directory.Mark{}, time.Now()); ok {
-				push(response{Snapshot: &s})
+			if u := l.update(directory.Mark{}, time.Now()); u.snapshot != nil {
+				push(response{Snapshot: u.snapshot})
 			}
 		}
 		if f.Follow {
@@ -109,10 +109,13 @@
 		case <-ctx.Done():
 			return
 		case r := <-out:
-			_ = conn.SetWriteDeadline(time.Now().Add(linkSilence))
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTime(len(r.Snapshot))))
 			err := enc.Encode(&r)
 			for err == nil && len(out) > 0 {
 				r = <-out
+				if len(r.Snapshot) > 0 {
+					_ = conn.SetWriteDeadline(time.Now().Add(writeTime(len(r.Snapshot))))
+				}
 				err = enc.Encode(&r)
 			}
 			if err == nil {
@@ -124,3 +127,8 @@
 		}
 	}
 }
+
+// writeTime returns how long a response with a snapshot may take to be written.
+func writeTime(snapshot int) time.Duration {
+	return linkSilence + time.Duration(snapshot)*time.Second/slowLink
+}
