coordinator: a request that will not be reached in time is refused at once

Ruled out: shorter waits for all, which refuse what a short queue would serve.

Change: a forecaster for each pool knows how long requests hold a slot and how many of each rank arrive. A request whose forecast wait is 1.5 times what it may still wait is refused, told to come back when its turn would come, at most after a third of its time and scattered.

Log lines of requests name their cost.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -171,7 +171,7 @@
 		"id", r.ID, "route", r.Route.Name, "kind", r.Route.Kind.String(), "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", r.Pool,
 		"outcome", outcome, "status", res.Status, "reason", n.refusal.Reason,
 		"retryAfterMs", n.refusal.RetryAfter.Milliseconds(),
-		"prompt", r.Prompt, "output", r.Output, "ageMs", r.Age.Milliseconds(),
+		"prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
 		"waitedMs", n.queued.Milliseconds(), "firstMs", n.firstByte.Milliseconds(), "pauseMs", n.longest.Milliseconds(), "tookMs", took.Milliseconds(),
 		"owner", n.owner, "upstreams", n.tried, "endings", n.endings)
 	upstream := ""
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -102,6 +102,8 @@
 	decisions []Decision
 	// order ranks those that wait.
 	order func(a, b *waiter) int
+	// foresee reports whether requests are refused by forecast.
+	foresee bool
 	// expired is when grants were last looked through for expiry.
 	expired time.Time
 }
@@ -128,6 +130,7 @@
 		peers:     make(map[string]peer),
 		fleet:     Fleet{Hosts: 1},
 		order:     bySlack,
+		foresee:   true,
 	}
 }
 
@@ -327,6 +330,9 @@
 	}
 	c.end(k, g)
 	g.upstream.ended(c, g, f, now)
+	if f.Ending == Complete || f.Ending == Failed || f.Ending == Abandoned {
+		c.pool(g.ask.Pool, now).forecast.ended(now.Sub(g.at))
+	}
 	if f.Ending == Unused || f.Ending == Unreached || f.Ending == Mistaken || f.Ending == Rejected {
 		if q := c.quotas[g.ask.Workspace]; q != nil && !g.ask.Redirected {
 			q.Refund(g.ask.Cost)
--- a/scheduler/coordinator/export_test.go
+++ b/scheduler/coordinator/export_test.go
@@ -7,3 +7,6 @@
 func (c *Coordinator) OrderByTierOnly() {
 	c.order = func(a, b *waiter) int { return cmp.Compare(a.Tier, b.Tier) }
 }
+
+// ForecastNothing lets requests wait to the end, however little their chance.
+func (c *Coordinator) ForecastNothing() { c.foresee = false }
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -62,6 +62,8 @@
 	members []*upstream
 	waiting []*waiter
 	retries *limiter.Bucket
+	// forecast foresees how long those that wait still have to.
+	forecast forecaster
 	// round counts the calls of serve, sweptAt is when all that wait were
 	// last looked at.
 	round   uint64
@@ -75,6 +77,7 @@
 		c.decide(entry, Decision{ID: a.ID, Reason: reason, RetryAfter: after})
 		return
 	}
+	p.forecast.arrived(rankOf(a), now)
 	p.waiting = append(p.waiting, &waiter{
 		Ask: a, entry: entry, since: now,
 		sendBy: now.Add(a.Objective - a.Age - c.quickest(p, a, now)),
@@ -164,10 +167,13 @@
 // sweep redirects or refuses those that should not wait here any longer, from
 // an index on: the latest to come are at the end.
 func (c *Coordinator) sweep(p *pool, from int, now time.Time) {
+	o := c.outlook(p, from, now)
+	var before line
 	kept := p.waiting[:from]
 	for _, w := range p.waiting[from:] {
 		w.swept = now
-		if !c.settle(p, w, now) {
+		if !c.settle(p, w, &o, before.position(w), now) {
+			before.add(w)
 			kept = append(kept, w)
 		}
 	}
@@ -175,6 +181,26 @@
 	p.waiting = kept
 }
 
+// outlook forecasts the waits of a pool if the whole queue is looked at. A host
+// that decides alone sees only its own part of the load and forecasts nothing.
+func (c *Coordinator) outlook(p *pool, from int, now time.Time) (o outlook) {
+	if from > 0 || c.fleet.Alone || !c.foresee {
+		return o
+	}
+	var l line
+	for _, w := range p.waiting {
+		w.late = now.After(w.sendBy)
+		l.add(w)
+	}
+	slots := 0
+	for _, u := range p.members {
+		if u.eligible(now) {
+			slots += u.slots()
+		}
+	}
+	return p.forecast.look(l, slots, now)
+}
+
 // bySlack ranks those that wait: by tier, then those that can still meet their
 // objective, then by the time left to meet it. Without the second step a
 // burst would make every request late: the longest waiting go first, and each
@@ -194,13 +220,17 @@
 
 // settle ends the wait of one that no upstream here takes, if it should end,
 // and reports whether it did.
-func (c *Coordinator) settle(p *pool, w *waiter, now time.Time) bool {
+func (c *Coordinator) settle(p *pool, w *waiter, o *outlook, position int, now time.Time) bool {
 	if domain := c.redirect(p, w.Ask, now); domain != "" {
 		c.decide(w.entry, Decision{ID: w.ID, Domain: domain})
 		return true
 	}
+	after := quickRetryAfter
 	if !c.tooLate(w, now) {
-		return false
+		hopeless := false
+		if hopeless, after = o.hopeless(w, position, now); !hopeless {
+			return false
+		}
 	}
 	reason := NoCapacity
 	if !c.exists(p, w.Ask, now) {
@@ -209,16 +239,19 @@
 	if q := c.quotas[w.Workspace]; q != nil && !w.Redirected && !w.Repeat {
 		q.Refund(w.Cost)
 	}
-	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: quickRetryAfter})
+	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: after})
 	return true
 }
 
 // tooLate reports whether a request that still waits is given up.
 func (c *Coordinator) tooLate(w *waiter, now time.Time) bool {
-	if w.left(now) < lateReserve {
-		return true
-	}
-	return w.Waited+now.Sub(w.since) > min(lateWait, time.Duration(waitPart*float64(w.Left+w.Waited)))
+	return w.left(now) < lateReserve || w.patience(now) < 0
+}
+
+// patience returns how much longer a request may wait for a slot.
+func (w *waiter) patience(now time.Time) time.Duration {
+	most := min(lateWait, time.Duration(waitPart*float64(w.Left+w.Waited)))
+	return most - w.Waited - now.Sub(w.since)
 }
 
 // redirect returns the failure domain whose coordinator should be asked
--- a/scheduler/coordinator/replay_test.go
+++ b/scheduler/coordinator/replay_test.go
@@ -56,6 +56,8 @@
 type pattern struct {
 	// rate multiplies the arrivals at a time.
 	rate func(at time.Duration) float64
+	// kindRate multiplies those of one tier besides.
+	kindRate func(tier int, at time.Duration) float64
 	// down tells whether an engine is down at a time.
 	down func(n int, at time.Duration) bool
 }
@@ -92,6 +94,19 @@
 	asks    map[uint64]replayed
 	// inTime, late and refused count requests by tier.
 	asked, inTime, late, refused [3]int
+	// inVain is how long requests waited that were refused in the end.
+	inVain time.Duration
+}
+
+// add adds the counts of another replay.
+func (r *replay) add(o *replay) {
+	for tier := range r.asked {
+		r.asked[tier] += o.asked[tier]
+		r.inTime[tier] += o.inTime[tier]
+		r.late[tier] += o.late[tier]
+		r.refused[tier] += o.refused[tier]
+	}
+	r.inVain += o.inVain
 }
 
 // replayed is a request of the replay.
@@ -121,7 +136,11 @@
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	for _, k := range kinds {
 		for at := time.Duration(0); at < length; {
-			at += time.Duration(rnd.ExpFloat64() / (k.perSecond * p.rate(at)) * float64(time.Second))
+			more := p.rate(at)
+			if p.kindRate != nil {
+				more *= p.kindRate(k.tier, at)
+			}
+			at += time.Duration(rnd.ExpFloat64() / (k.perSecond * more) * float64(time.Second))
 			x := replayed{
 				kind:   k,
 				prompt: int(k.prompt * math.Exp(rnd.NormFloat64()*0.8-0.32)),
@@ -165,6 +184,7 @@
 		x := r.asks[d.ID]
 		if d.Upstream == "" {
 			r.refused[x.tier]++
+			r.inVain += now.Sub(x.at)
 			continue
 		}
 		e := r.engines[d.Upstream]
