limiter: a quota admits large requests like small ones

Ruled out: an error of accounting between coordinators; a wider quota, which the operators do not grant.

Change: a request that costs up to a quarter of the burst is admitted from any level above zero and what it takes too much is missing afterwards. Where the part of a budget is small, as at hosts that decide alone, the whole cost must still be there, as many such hosts would each exceed by one request.

--- a/scheduler/limiter/limiter.go
+++ b/scheduler/limiter/limiter.go
@@ -120,12 +120,27 @@
 	q.bucket.Tune(q.rate*q.part, q.burst*q.part, now)
 }
 
+// debtPart is the part of the burst that a request may cost to be admitted from
+// any level above zero. What it takes too much is missing afterwards.
+const debtPart = 0.25
+
+// need returns the level at which a request is admitted. If it were the whole
+// cost, a workspace that always asks for more than its quota would see its
+// large requests refused and its small ones admitted, as the level never rises
+// to the cost of a large one.
+func (q *Quota) need(cost float64) float64 {
+	if cost <= debtPart*q.bucket.size {
+		return 1
+	}
+	return min(cost, q.bucket.size)
+}
+
 // Admit takes a request's cost from the budget if it is not exhausted.
 func (q *Quota) Admit(cost float64, now time.Time) bool {
 	if q.rate <= 0 {
 		return true
 	}
-	if !q.bucket.Has(min(cost, q.bucket.size), now) {
+	if !q.bucket.Has(q.need(cost), now) {
 		return false
 	}
 	q.Spend(cost, now)
@@ -167,5 +182,5 @@
 
 // Until returns when a request of a cost would be admitted.
 func (q *Quota) Until(cost float64, longest time.Duration, now time.Time) time.Duration {
-	return q.bucket.Until(min(cost, q.bucket.size), longest, now)
+	return q.bucket.Until(q.need(cost), longest, now)
 }
--- a/scheduler/limiter/limiter_test.go
+++ b/scheduler/limiter/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -149,3 +150,40 @@
 		t.Error("the use of other processes is not counted from their first figure")
 	}
 }
+
+// TestLargeRequestsAreNotStarved asks for three times a quota in requests of
+// many sizes, one in ten of them large: sizes must not decide who is admitted.
+func TestLargeRequestsAreNotStarved(t *testing.T) {
+	const (
+		rate, burst  = 20_000.0, 70_000.0
+		small, large = 1_500.0, 7_000.0
+		// leastPart is the operators' bound: the largest tenth of a kind is
+		// served at least half as often as all.
+		leastPart = 0.5
+		length    = 60 * time.Second
+	)
+	now := time.Unix(1000, 0)
+	q := limiter.NewQuota(rate, burst, now)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	asked, admitted := map[float64]int{}, map[float64]int{}
+	used := 0.0
+	mean := 0.9*small + 0.1*large
+	for at := time.Duration(0); at < length; at += time.Duration(rnd.ExpFloat64() * mean / (3 * rate) * float64(time.Second)) {
+		cost := small
+		if rnd.IntN(10) == 0 {
+			cost = large
+		}
+		asked[cost]++
+		if q.Admit(cost, now.Add(at)) {
+			admitted[cost]++
+			used += cost
+		}
+	}
+	part := func(cost float64) float64 { return float64(admitted[cost]) / float64(asked[cost]) }
+	if part(large) < leastPart*part(small) {
+		t.Errorf("%.2f of the large requests admitted, %.2f of the small ones", part(large), part(small))
+	}
+	if most := rate*length.Seconds() + burst + large; used > most {
+		t.Errorf("%.0f tokens admitted, want at most %.0f", used, most)
+	}
+}
