--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -131,8 +131,8 @@
 func (l *Linker) Members() []detector.Member { return l.view.Load().members }
 
 // Gauges returns figures for metrics: the hosts known by their state, the
-// links to other hosts, what this host runs, and, where it coordinates, how
-// full its pools are.
+// links to other hosts, what this host runs, and how full the pools are as its
+// own coordinator sees them.
 func (l *Linker) Gauges() []reporter.Gauge {
 	v := l.view.Load()
 	states := map[detector.Status]int{detector.Alive: 1, detector.Suspect: 0, detector.Dead: 0}
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -102,8 +102,8 @@
 	decisions []Decision
 	// order ranks those that wait.
 	order func(a, b *waiter) int
-	// foresee reports whether requests are refused by forecast.
-	foresee bool
+	// rejectEarly reports whether requests are rejected by forecast.
+	rejectEarly bool
 	// expired is when grants were last looked through for expiry.
 	expired time.Time
 }
@@ -119,18 +119,18 @@
 // New returns a coordinator without upstreams for a process.
 func New(process string, b Bounds) *Coordinator {
 	return &Coordinator{
-		process:   process,
-		bounds:    b,
-		upstreams: make(map[string]*upstream),
-		pools:     make(map[string]*pool),
-		grants:    make(map[key]*grant),
-		quotas:    make(map[string]*limiter.Quota),
-		suspects:  quarantiner.New(),
-		crashes:   make(map[uint64]int),
-		peers:     make(map[string]peer),
-		fleet:     Fleet{Hosts: 1},
-		order:     bySlack,
-		foresee:   true,
+		process:     process,
+		bounds:      b,
+		upstreams:   make(map[string]*upstream),
+		pools:       make(map[string]*pool),
+		grants:      make(map[key]*grant),
+		quotas:      make(map[string]*limiter.Quota),
+		suspects:    quarantiner.New(),
+		crashes:     make(map[uint64]int),
+		peers:       make(map[string]peer),
+		fleet:       Fleet{Hosts: 1},
+		order:       bySlack,
+		rejectEarly: true,
 	}
 }
 
@@ -331,7 +331,7 @@
 	c.end(k, g)
 	g.upstream.ended(c, g, f, now)
 	if f.Ending == Complete || f.Ending == Failed || f.Ending == Abandoned {
-		c.pool(g.ask.Pool, now).forecast.ended(now.Sub(g.at))
+		c.pool(g.ask.Pool, now).forecaster.ended(now.Sub(g.at))
 	}
 	if f.Ending == Unused || f.Ending == Unreached || f.Ending == Mistaken || f.Ending == Rejected {
 		if q := c.quotas[g.ask.Workspace]; q != nil && !g.ask.Redirected {
--- a/scheduler/coordinator/export_test.go
+++ b/scheduler/coordinator/export_test.go
@@ -9,4 +9,4 @@
 }
 
 // ForecastNothing lets requests wait to the end, however little their chance.
-func (c *Coordinator) ForecastNothing() { c.foresee = false }
+func (c *Coordinator) ForecastNothing() { c.rejectEarly = false }
--- a/scheduler/coordinator/forecast.go
+++ b/scheduler/coordinator/forecast.go
@@ -12,9 +12,9 @@
 	// holdWeight is the weight of one request in the average time that requests
 	// hold a slot.
 	holdWeight = 1.0 / 32
-	// hopelessFactor times the wait that is left is a forecast wait at which a
-	// request is refused: forecasts err by about as much.
-	hopelessFactor = 1.5
+	// rejectFactor times the wait that is left to a request is the forecast wait
+	// at which it is rejected early: forecasts err by about as much.
+	rejectFactor = 1.5
 	// leastPart is the part of all slots a second that any rank is taken to
 	// get, as what goes before it comes in waves.
 	leastPart = 0.2
@@ -78,14 +78,14 @@
 	f.hold += (held.Seconds() - f.hold) * max(holdWeight, 1/float64(f.held))
 }
 
-// line is a queue as it stands: how many wait in each rank, in time and late.
-type line struct {
+// backlog counts those that wait, by rank, in time and late.
+type backlog struct {
 	inTime, late [maxRank + 1]int
 }
 
-// outlook is what a forecaster says of a queue at a moment: for each rank, the
+// forecast is what a forecaster says of a queue at a moment: for each rank, the
 // slots a second that are left to it, and how many wait before it.
-type outlook struct {
+type forecast struct {
 	known bool
 	// inTimeRate and lateRate are the slots a second left to the requests of a
 	// rank by those that go before them.
@@ -94,27 +94,27 @@
 	inTimeAhead, lateAhead [maxRank + 1]int
 }
 
-// look returns the outlook of a queue before a number of slots.
-func (f *forecaster) look(l line, slots int, now time.Time) (o outlook) {
+// forecast returns the forecast for a queue before a number of slots.
+func (f *forecaster) forecast(b backlog, slots int, now time.Time) (o forecast) {
 	if f.held < minHeld || f.hold <= 0 || slots == 0 {
 		return o
 	}
 	o.known = true
 	left, ahead := float64(slots)/f.hold, 0
 	least := leastPart * left
-	for r := range l.inTime {
+	for r := range b.inTime {
 		o.inTimeRate[r], o.inTimeAhead[r] = max(left, least), ahead
 		left -= f.arrivals[r].value(now)
-		ahead += l.inTime[r]
+		ahead += b.inTime[r]
 		o.lateRate[r], o.lateAhead[r] = max(left, least), ahead
-		ahead += l.late[r]
+		ahead += b.late[r]
 	}
 	return o
 }
 
 // wait returns how long the request at a position among those of its rank, in
 // time or late, waits for a slot; 0 where nothing is known.
-func (o *outlook) wait(r rank, late bool, position int) time.Duration {
+func (o *forecast) wait(r rank, late bool, position int) time.Duration {
 	if !o.known {
 		return 0
 	}
@@ -127,28 +127,28 @@
 
 // position returns how many of a request's rank, in time or late as it is, go
 // before the next one.
-func (l *line) position(w *waiter) int {
+func (b *backlog) position(w *waiter) int {
 	if w.late {
-		return l.late[rankOf(w.Ask)]
+		return b.late[rankOf(w.Ask)]
 	}
-	return l.inTime[rankOf(w.Ask)]
+	return b.inTime[rankOf(w.Ask)]
 }
 
 // add counts a request that waits.
-func (l *line) add(w *waiter) {
+func (b *backlog) add(w *waiter) {
 	if w.late {
-		l.late[rankOf(w.Ask)]++
+		b.late[rankOf(w.Ask)]++
 		return
 	}
-	l.inTime[rankOf(w.Ask)]++
+	b.inTime[rankOf(w.Ask)]++
 }
 
-// hopeless reports whether a request will not be reached while it may wait,
+// rejectEarly reports whether a request will not be reached while it may wait,
 // and when its caller should come back: when it would have been reached, or as
 // late as is of use, and not all at once.
-func (o *outlook) hopeless(w *waiter, position int, now time.Time) (is bool, after time.Duration) {
+func (o *forecast) rejectEarly(w *waiter, position int, now time.Time) (is bool, after time.Duration) {
 	d := o.wait(rankOf(w.Ask), w.late, position)
-	if float64(d) <= hopelessFactor*float64(w.patience(now)) {
+	if float64(d) <= rejectFactor*float64(w.waitLeft(now)) {
 		return false, 0
 	}
 	after = time.Duration(float64(min(d, longestRetryAfter)) * (1 - retrySpread*scatter(w.ID)))
--- a/scheduler/coordinator/forecast_test.go
+++ b/scheduler/coordinator/forecast_test.go
@@ -7,11 +7,11 @@
 	"foxtaillug.org/scheduler/coordinator"
 )
 
-// TestHopelessWaitsEndAtOnce replays loads that the engines can't serve, with
+// TestEarlyRejection replays loads that the engines can't serve, with
 // and without the forecast of waits. With it the requests that are refused in
 // the end have waited for a small part of the time, no tier is served less in
 // time, and those that can be served are.
-func TestHopelessWaitsEndAtOnce(t *testing.T) {
+func TestEarlyRejection(t *testing.T) {
 	// heldPart is the part of what requests wait in vain without the forecast
 	// that is allowed with it.
 	const heldPart = 0.5
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -62,8 +62,8 @@
 	members []*upstream
 	waiting []*waiter
 	retries *limiter.Bucket
-	// forecast foresees how long those that wait still have to.
-	forecast forecaster
+	// forecaster foresees how long those that wait still have to.
+	forecaster forecaster
 	// round counts the calls of serve, sweptAt is when all that wait were
 	// last looked at.
 	round   uint64
@@ -77,7 +77,7 @@
 		c.decide(entry, Decision{ID: a.ID, Reason: reason, RetryAfter: after})
 		return
 	}
-	p.forecast.arrived(rankOf(a), now)
+	p.forecaster.arrived(rankOf(a), now)
 	p.waiting = append(p.waiting, &waiter{
 		Ask: a, entry: entry, since: now,
 		sendBy: now.Add(a.Objective - a.Age - c.quickest(p, a, now)),
@@ -167,8 +167,8 @@
 // sweep redirects or refuses those that should not wait here any longer, from
 // an index on: the latest to come are at the end.
 func (c *Coordinator) sweep(p *pool, from int, now time.Time) {
-	o := c.outlook(p, from, now)
-	var before line
+	o := c.forecast(p, from, now)
+	var before backlog
 	kept := p.waiting[:from]
 	for _, w := range p.waiting[from:] {
 		w.swept = now
@@ -181,16 +181,16 @@
 	p.waiting = kept
 }
 
-// outlook forecasts the waits of a pool if the whole queue is looked at. A host
+// forecast forecasts the waits of a pool if the whole queue is looked at. A host
 // that decides alone sees only its own part of the load and forecasts nothing.
-func (c *Coordinator) outlook(p *pool, from int, now time.Time) (o outlook) {
-	if from > 0 || c.fleet.Alone || !c.foresee {
+func (c *Coordinator) forecast(p *pool, from int, now time.Time) (o forecast) {
+	if from > 0 || c.fleet.Alone || !c.rejectEarly {
 		return o
 	}
-	var l line
+	var b backlog
 	for _, w := range p.waiting {
 		w.late = now.After(w.sendBy)
-		l.add(w)
+		b.add(w)
 	}
 	slots := 0
 	for _, u := range p.members {
@@ -198,7 +198,7 @@
 			slots += u.slots()
 		}
 	}
-	return p.forecast.look(l, slots, now)
+	return p.forecaster.forecast(b, slots, now)
 }
 
 // bySlack ranks those that wait: by tier, then those that can still meet their
@@ -220,15 +220,15 @@
 
 // settle ends the wait of one that no upstream here takes, if it should end,
 // and reports whether it did.
-func (c *Coordinator) settle(p *pool, w *waiter, o *outlook, position int, now time.Time) bool {
+func (c *Coordinator) settle(p *pool, w *waiter, o *forecast, position int, now time.Time) bool {
 	if domain := c.redirect(p, w.Ask, now); domain != "" {
 		c.decide(w.entry, Decision{ID: w.ID, Domain: domain})
 		return true
 	}
 	after := quickRetryAfter
 	if !c.tooLate(w, now) {
-		hopeless := false
-		if hopeless, after = o.hopeless(w, position, now); !hopeless {
+		reject := false
+		if reject, after = o.rejectEarly(w, position, now); !reject {
 			return false
 		}
 	}
@@ -245,11 +245,11 @@
 
 // tooLate reports whether a request that still waits is given up.
 func (c *Coordinator) tooLate(w *waiter, now time.Time) bool {
-	return w.left(now) < lateReserve || w.patience(now) < 0
+	return w.left(now) < lateReserve || w.waitLeft(now) < 0
 }
 
-// patience returns how much longer a request may wait for a slot.
-func (w *waiter) patience(now time.Time) time.Duration {
+// waitLeft returns how much longer a request may wait for a slot.
+func (w *waiter) waitLeft(now time.Time) time.Duration {
 	most := min(lateWait, time.Duration(waitPart*float64(w.Left+w.Waited)))
 	return most - w.Waited - now.Sub(w.since)
 }
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -34,7 +34,7 @@
 	// youngTime is how long a host counts as just started.
 	youngTime = 8 * time.Second
 	// joinTime is how long a host that has just started pings at joinPeriod, so
-	// that hosts which start together soon know the eldest of them.
+	// that hosts which start together soon know the oldest of them.
 	joinTime = 2 * time.Second
 )
 
@@ -74,7 +74,7 @@
 	nextPing            time.Time
 	nextHeal            time.Time
 	changes             uint64
-	// digest is that of the eldest at a count of changes.
+	// digest is that of the oldest at a count of changes.
 	digest          uint64
 	digestedChanges uint64
 	// disputed is a failure domain in which this host believes in older members
@@ -190,7 +190,7 @@
 	if d.disputed != "" {
 		list = append(list, d.byAgeIn(d.disputed)...)
 	}
-	return Packet{To: to, Message: Message{Kind: Ping, Seq: d.seq, From: d.self, Members: list, Eldest: d.eldestDigest()}}
+	return Packet{To: to, Message: Message{Kind: Ping, Seq: d.seq, From: d.self, Members: list, Oldest: d.oldestDigest()}}
 }
 
 // nextMember returns the member whose turn it is to be pinged.
@@ -300,12 +300,12 @@
 	d.dispute(m)
 	switch m.Kind {
 	case Ping:
-		ack := Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: d.piggyback(), Eldest: d.eldestDigest()}
+		ack := Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: d.piggyback(), Oldest: d.oldestDigest()}
 		switch {
 		case !known:
 			ack.Members = d.some(m.From.Domain)
-		case m.Eldest != d.eldestDigest():
-			ack.Members = append(ack.Members, d.eldest(m.From.Domain)...)
+		case m.Oldest != d.oldestDigest():
+			ack.Members = append(ack.Members, d.oldest(m.From.Domain)...)
 		}
 		ack.Members = append(ack.Members, corrections...)
 		if e := d.members[m.From.ID]; e != nil && e.Status != Alive {
--- a/scheduler/detector/detector_test.go
+++ b/scheduler/detector/detector_test.go
@@ -281,8 +281,8 @@
 	}
 }
 
-// eldest returns whom a host takes for the eldest of a failure domain.
-func eldest(n *node, domain string) (best detector.Member) {
+// oldest returns whom a host takes for the oldest of a failure domain.
+func oldest(n *node, domain string) (best detector.Member) {
 	for _, m := range append(n.Members(), n.Self()) {
 		if m.Domain == domain && m.Status < detector.Dead && (best.ID == "" || m.Older(best)) {
 			best = m
@@ -291,7 +291,7 @@
 	return best
 }
 
-// disagreeing returns how many hosts are wrong about the eldest of their own
+// disagreeing returns how many hosts are wrong about the oldest of their own
 // failure domain, and of any.
 func (f *fleet) disagreeing() (own, all int) {
 	truth := make(map[string]detector.Member)
@@ -302,7 +302,7 @@
 	}
 	for _, n := range f.nodes {
 		for domain, want := range truth {
-			if n.running && eldest(n, domain).ID != want.ID {
+			if n.running && oldest(n, domain).ID != want.ID {
 				all++
 				if domain == n.domain {
 					own++
@@ -313,11 +313,11 @@
 	return own, all
 }
 
-// TestHostsAgreeOnTheEldest starts many hosts at once, for the first time, all
+// TestHostsAgreeOnTheOldest starts many hosts at once, for the first time, all
 // again after they were killed, and those of one failure domain that was lost.
-// The eldest of a failure domain decides for it, so a host that is wrong about
+// The oldest of a failure domain decides for it, so a host that is wrong about
 // it decides alone.
-func TestHostsAgreeOnTheEldest(t *testing.T) {
+func TestHostsAgreeOnTheOldest(t *testing.T) {
 	const (
 		// ownBound is the operators' bound for a change to be in force.
 		ownBound = 3 * time.Second
@@ -359,12 +359,12 @@
 				if all == 0 {
 					t.Logf("agreed on their own after %v, on all after %v", ownAt, passed)
 					if ownAt > ownBound {
-						t.Errorf("hosts agree on their own eldest after %v, want %v", ownAt, ownBound)
+						t.Errorf("hosts agree on their own oldest after %v, want %v", ownAt, ownBound)
 					}
 					return
 				}
 				if passed > allBound {
-					t.Fatalf("after %v hosts are wrong about %d eldest members, %d of them their own", passed, all, own)
+					t.Fatalf("after %v hosts are wrong about %d oldest members, %d of them their own", passed, all, own)
 				}
 			}
 		})
--- a/scheduler/detector/spread.go
+++ b/scheduler/detector/spread.go
@@ -73,10 +73,10 @@
 	disputedSample = 16
 )
 
-// some returns live members for a host that joins: the eldest of each failure
+// some returns live members for a host that joins: the oldest of each failure
 // domain, those of its own domain by age, then random ones.
 func (d *Detector) some(domain string) (list []Member) {
-	list = d.eldest(domain)
+	list = d.oldest(domain)
 	told := make(map[string]bool, introduction)
 	for _, m := range list {
 		told[m.ID] = true
@@ -99,9 +99,9 @@
 	return list
 }
 
-// eldest returns the eldest live member of each failure domain, this host
-// among them, and the second eldest of one domain.
-func (d *Detector) eldest(domain string) (list []Member) {
+// oldest returns the oldest live member of each failure domain, this host
+// among them, and the second oldest of one domain.
+func (d *Detector) oldest(domain string) (list []Member) {
 	first := make(map[string]Member)
 	second := Member{}
 	consider := func(m Member) {
@@ -132,14 +132,14 @@
 	return list
 }
 
-// eldestDigest returns a digest of the eldest members. Hosts whose digests
+// oldestDigest returns a digest of the oldest members. Hosts whose digests
 // differ tell each other whom they mean, so that all soon agree on them
 // however many members have changed at once.
-func (d *Detector) eldestDigest() uint64 {
+func (d *Detector) oldestDigest() uint64 {
 	if d.digest == 0 || d.digestedChanges != d.changes {
 		var h xxhash.Digest
 		h.Reset()
-		for _, m := range d.eldest("") {
+		for _, m := range d.oldest("") {
 			// Writing to a digest can't fail.
 			_, _ = fmt.Fprintf(&h, "%s %s %d\n", m.Domain, m.ID, m.Started)
 		}
@@ -151,11 +151,11 @@
 // dispute notes in which failure domain this host believes in older members
 // than a message's sender, which may know that they are gone.
 func (d *Detector) dispute(m Message) {
-	if m.Eldest == 0 {
+	if m.Oldest == 0 {
 		return
 	}
 	d.disputed = ""
-	if m.Eldest == d.eldestDigest() {
+	if m.Oldest == d.oldestDigest() {
 		return
 	}
 	told := make(map[string]Member)
@@ -164,14 +164,14 @@
 			told[x.Domain] = x
 		}
 	}
-	for _, own := range d.eldest("") {
+	for _, own := range d.oldest("") {
 		if x, ok := told[own.Domain]; ok && own.ID != d.self.ID && own.Older(x) {
 			d.disputed = own.Domain
 		}
 	}
 }
 
-// byAgeIn returns the eldest members of a failure domain, which others may
+// byAgeIn returns the oldest members of a failure domain, which others may
 // correct.
 func (d *Detector) byAgeIn(domain string) (list []Member) {
 	for _, e := range d.members {
