receiver, daemon: every use of a ticket is explained; one loop sets gauges

A booking that another host ran, or whose answer was remembered, was no longer known to explain since requests are recorded by the forwarder. The host that answers records it. Found by reading the diff; TestEveryBookingIsExplained fails without the change.

--- a/foxtaild/daemon/admin.go
+++ b/foxtaild/daemon/admin.go
@@ -9,14 +9,11 @@
 	"github.com/samber/lo"
 
 	"foxtaillug.org/contract"
+	"foxtaillug.org/foxtaild/reporter"
 )
 
-const (
-	// adminTime bounds the reading of a request's head.
-	adminTime = 5 * time.Second
-	// gaugeEvery is how often gauges are set.
-	gaugeEvery = time.Second
-)
+// adminTime bounds the reading of a request's head.
+const adminTime = 5 * time.Second
 
 // Status returns what operators see of this host.
 func (d *Daemon) Status() contract.HostStatus {
@@ -53,7 +50,7 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminTime}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	go d.setGauges(ctx)
+	go d.reporter.Collect(ctx, d)
 	_ = server.Serve(d.listeners.admin)
 }
 
@@ -82,24 +79,18 @@
 	writeJSON(w, e)
 }
 
-// setGauges keeps the gauges up to date until ctx is done.
-func (d *Daemon) setGauges(ctx context.Context) {
-	tick := time.NewTicker(gaugeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		s := d.Status()
-		d.reporter.Gauge("config_version", nil, float64(s.Version))
-		d.reporter.Gauge("config_age_seconds", nil, time.Since(s.InForceSince).Seconds())
-		d.reporter.Gauge("in_progress", nil, float64(s.InProgress))
-		d.reporter.Gauge("control_bytes", nil, float64(s.ControlSent+s.ControlRead))
-		d.reporter.Gauge("control_writes", nil, float64(s.ControlWrites))
-		d.reporter.Gauge("upstreams_cold", nil, float64(lo.CountBy(s.Upstreams, func(u contract.UpstreamStatus) bool { return u.Cold })))
-		d.reporter.Gauge("slots", nil, float64(lo.SumBy(s.Upstreams, func(u contract.UpstreamStatus) int { return u.Slots })))
-		d.reporter.Gauge("running", nil, float64(lo.SumBy(s.Upstreams, func(u contract.UpstreamStatus) int { return u.Running })))
+// Gauges returns figures for metrics: the configuration, the requests in
+// progress, what hosts have sent each other, and the upstreams of this host.
+func (d *Daemon) Gauges() []reporter.Gauge {
+	s := d.Status()
+	return []reporter.Gauge{
+		{Name: "config_version", Value: float64(s.Version)},
+		{Name: "config_age_seconds", Value: time.Since(s.InForceSince).Seconds()},
+		{Name: "in_progress", Value: float64(s.InProgress)},
+		{Name: "control_bytes", Value: float64(s.ControlSent + s.ControlRead)},
+		{Name: "control_writes", Value: float64(s.ControlWrites)},
+		{Name: "upstreams_cold", Value: float64(lo.CountBy(s.Upstreams, func(u contract.UpstreamStatus) bool { return u.Cold }))},
+		{Name: "slots", Value: float64(lo.SumBy(s.Upstreams, func(u contract.UpstreamStatus) int { return u.Slots }))},
+		{Name: "running", Value: float64(lo.SumBy(s.Upstreams, func(u contract.UpstreamStatus) int { return u.Running }))},
 	}
 }
--- a/foxtaild/internal/receiver/booking.go
+++ b/foxtaild/internal/receiver/booking.go
@@ -104,6 +104,9 @@
 		f := refusalOfAnswer(a)
 		w.refused = &f
 	}
+	if _, forwarded := r.reporter.Explain(k.id); !forwarded {
+		r.note(k, Outcome(a.Outcome()), a.Reason())
+	}
 	r.log.Info("ticket used", "id", k.id, "workspace", string(k.standing.ID()), "outcome", a.Outcome(), "reason", a.Reason(), "here", t.Incarnation() == r.desk.incarnation)
 	return r.writeWhole(c, k, w)
 }
--- a/foxtaild/internal/receiver/receiver.go
+++ b/foxtaild/internal/receiver/receiver.go
@@ -289,11 +289,17 @@
 func (r *Receiver) refuse(c fiber.Ctx, k *call, f refusal) error {
 	defer k.release()
 	r.log.Info("request refused", "id", k.id, "workspace", string(k.standing.ID()), "status", f.status, "reason", f.reason, "version", k.dir.Document().Version)
+	r.note(k, f.outcome, f.reason)
+	return r.write(c, k.id, f)
+}
+
+// note counts a request that this host has not forwarded, and keeps it for
+// explain.
+func (r *Receiver) note(k *call, o Outcome, reason string) {
 	r.reporter.Ended(contract.Explanation{
 		RequestID: k.id, At: k.arrived, Workspace: string(k.standing.ID()), Tier: k.standing.TierName(), Pool: string(k.pool),
-		Outcome: string(f.outcome), Reason: f.reason, TotalMs: time.Since(k.arrived).Milliseconds(),
+		Outcome: string(o), Reason: reason, TotalMs: time.Since(k.arrived).Milliseconds(),
 	})
-	return r.write(c, k.id, f)
 }
 
 // serveModels lists the models.
--- a/foxtaild/process_test.go
+++ b/foxtaild/process_test.go
@@ -557,3 +557,38 @@
 		t.Error("the log holds no request, so nothing was tested")
 	}
 }
+
+// TestEveryBookingIsExplained uses a ticket at the host that issued it, at
+// another one, and again: each host can explain the use that it answered.
+func TestEveryBookingIsExplained(t *testing.T) {
+	f := newFleet(t)
+	ctx := context.Background()
+	ticket := f.daemons[0].ticket(ctx)
+	for i, at := range []int{0, 1, 0, 1} {
+		d := f.daemons[at]
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+"/v1/services/booking/bookings", strings.NewReader(`{"reference":"x"}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+apiKey)
+		req.Header.Set("Foxtail-Ticket", ticket)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		explained, err := http.Get("http://" + d.admin + "/explain/" + resp.Header.Get("Foxtail-Request-Id"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var e contract.Explanation
+		err = json.NewDecoder(explained.Body).Decode(&e)
+		_ = explained.Body.Close()
+		if err != nil || e.Outcome != "complete" || e.Workspace != "crews" {
+			t.Errorf("use %d at host %d is explained as %+v (%v)", i, at, e, err)
+		}
+	}
+	if n := len(f.runs()); n != 1 {
+		t.Errorf("%d bookings ran, want 1", n)
+	}
+}
--- a/scheduler/coordinator/forecast_test.go
+++ b/scheduler/coordinator/forecast_test.go
@@ -7,6 +7,16 @@
 	"foxtaillug.org/scheduler/coordinator"
 )
 
+// compare replays a pattern with and without the forecast, over a few seeds.
+func compare(p pattern) (with, without *replay) {
+	with, without = &replay{}, &replay{}
+	for seed := range uint64(4) {
+		with.add(run(p, seed, 14*time.Second))
+		without.add(run(p, seed, 14*time.Second, (*coordinator.Coordinator).ForecastNothing))
+	}
+	return with, without
+}
+
 // TestEarlyRejection replays loads that the engines can't serve, with
 // and without the forecast of waits. With it the requests that are refused in
 // the end have waited for a small part of the time, no tier is served less in
@@ -25,11 +35,7 @@
 	}
 	for name, p := range tests {
 		t.Run(name, func(t *testing.T) {
-			var with, without replay
-			for seed := range uint64(4) {
-				with.add(run(p, seed, 14*time.Second))
-				without.add(run(p, seed, 14*time.Second, (*coordinator.Coordinator).ForecastNothing))
-			}
+			with, without := compare(p)
 			t.Logf("in vain %v with the forecast, %v without; in time %v, %v; late %v, %v; refused %v, %v", with.inVain, without.inVain, with.inTime, without.inTime, with.late, without.late, with.refused, without.refused)
 			if float64(with.inVain) > heldPart*float64(without.inVain) {
 				t.Errorf("requests waited %v in vain, %v without the forecast", with.inVain, without.inVain)
@@ -54,11 +60,7 @@
 	}
 	for name, p := range tests {
 		t.Run(name, func(t *testing.T) {
-			var with, without replay
-			for seed := range uint64(4) {
-				with.add(run(p, seed, 14*time.Second))
-				without.add(run(p, seed, 14*time.Second, (*coordinator.Coordinator).ForecastNothing))
-			}
+			with, without := compare(p)
 			t.Logf("refused %v, %v without the forecast of %v", with.refused, without.refused, with.asked)
 			for tier, n := range with.refused {
 				if n > without.refused[tier]+with.asked[tier]/100 {
