--- a/scheduler/coordinator/export_test.go
+++ b/scheduler/coordinator/export_test.go
@@ -10,3 +10,6 @@
 
 // ForecastNothing lets requests wait to the end, however little their chance.
 func (c *Coordinator) ForecastNothing() { c.rejectEarly = false }
+
+// IgnoreCold treats cold upstreams as warm.
+func (c *Coordinator) IgnoreCold() { c.bounds.ColdFactor, c.bounds.ColdAllowance = 1000, 1000 }
--- a/scheduler/coordinator/replay_test.go
+++ b/scheduler/coordinator/replay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,6 +38,42 @@
 	slowness float64
 	readFree time.Time
 	down     func(at time.Duration) bool
+	// coldFrom and coldTo bound a cold start, in which more than coldBears
+	// requests within a second crash the engine for crashTime.
+	coldFrom, coldTo time.Duration
+	recent           []time.Duration
+	crashes          int
+	crashedUntil     time.Duration
+}
+
+const (
+	// coldBears is the bound of the operators' sheets: 13 requests a second,
+	// times 1.5, and 5.
+	coldBears = 24
+	crashTime = 3 * time.Second
+)
+
+// take counts a request that reaches the engine, and reports whether it runs.
+func (e *engine) take(at time.Duration) bool {
+	if e.down(at) || at < e.crashedUntil {
+		return false
+	}
+	if at < e.coldFrom || at >= e.coldTo {
+		return true
+	}
+	kept := e.recent[:0]
+	for _, r := range e.recent {
+		if at-r < time.Second {
+			kept = append(kept, r)
+		}
+	}
+	e.recent = append(kept, at)
+	if len(e.recent) > coldBears {
+		e.crashes++
+		e.recent, e.crashedUntil = nil, at+crashTime
+		return false
+	}
+	return true
 }
 
 // start sends a request at a time and returns when its first event and its
@@ -60,6 +97,14 @@
 	kindRate func(tier int, at time.Duration) float64
 	// down tells whether an engine is down at a time.
 	down func(n int, at time.Duration) bool
+	// cold is when engine 0 comes back cold, from and to; none if both are 0.
+	cold [2]time.Duration
+	// repeats is how often a refused caller asks again at once.
+	repeats int
+	// leave is the part of callers that leave after their objective if nothing
+	// has come; unless deaf, the coordinator is told.
+	leave float64
+	deaf  bool
 }
 
 // event is something that happens in the replay.
@@ -92,10 +137,24 @@
 	heap    events
 	n       int
 	asks    map[uint64]replayed
+	ids     uint64
 	// inTime, late and refused count requests by tier.
 	asked, inTime, late, refused [3]int
 	// inVain is how long requests waited that were refused in the end.
 	inVain time.Duration
+	pattern
+	// ended are the requests that run or were refused, left those whose caller
+	// left before.
+	ended, left map[uint64]bool
+	rnd         *rand.Rand
+}
+
+// crashes counts the crashes of all engines.
+func (r *replay) crashes() (n int) {
+	for _, e := range r.engines {
+		n += e.crashes
+	}
+	return n
 }
 
 // add adds the counts of another replay.
@@ -114,12 +173,14 @@
 	kind
 	prompt, output int
 	at             time.Time
+	// repeated counts how often the caller has asked again.
+	repeated int
 }
 
 // run replays a pattern for a time on four engines of one failure domain, of
 // which two are slow.
 func run(p pattern, seed uint64, length time.Duration, options ...func(*coordinator.Coordinator)) *replay {
-	r := &replay{c: newCoordinator(), engines: map[string]*engine{}, asks: map[uint64]replayed{}}
+	r := &replay{c: newCoordinator(), engines: map[string]*engine{}, asks: map[uint64]replayed{}, pattern: p, left: map[uint64]bool{}, ended: map[uint64]bool{}, rnd: rand.New(rand.NewPCG(seed, 8))}
 	for _, o := range options {
 		o(r.c)
 	}
@@ -129,10 +190,20 @@
 		if p.down != nil {
 			e.down = func(at time.Duration) bool { return p.down(i, at) }
 		}
+		if i == 0 {
+			e.coldFrom, e.coldTo = p.cold[0], p.cold[1]
+		}
 		r.engines[e.id] = e
 		entries = append(entries, registrar.Entry{ID: e.id, Pool: "engines", Domain: "d", Slots: 6})
 	}
 	r.c.SetUpstreams(entries, start)
+	if p.cold[1] > 0 {
+		r.schedule(start.Add(p.cold[0]), func(now time.Time) {
+			back := slices.Clone(entries)
+			back[0].Born, back[0].ColdUntil = 1, start.Add(p.cold[1])
+			r.c.SetUpstreams(back, now)
+		})
+	}
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	for _, k := range kinds {
 		for at := time.Duration(0); at < length; {
@@ -169,26 +240,51 @@
 
 // ask sends a request to the coordinator.
 func (r *replay) ask(x replayed, now time.Time) {
-	id := uint64(len(r.asks) + 1)
+	r.ids++
+	id := r.ids
 	r.asks[id] = x
-	r.asked[x.tier]++
+	if x.repeated == 0 {
+		r.asked[x.tier]++
+	}
 	r.c.Ask("entry", coordinator.Ask{
-		ID: id, Pool: "engines", Tier: x.tier, Objective: x.objective, Left: x.deadline,
+		ID: id, Pool: "engines", Tier: x.tier, Objective: x.objective, Age: now.Sub(x.at), Left: x.deadline - now.Sub(x.at),
 		Prompt: x.prompt, Output: x.output,
 	}, now)
+	if r.rnd.Float64() < r.pattern.leave {
+		r.schedule(now.Add(x.objective), func(time.Time) { r.goAway(id) })
+	}
+}
+
+// goAway has a caller leave that has nothing yet.
+func (r *replay) goAway(id uint64) {
+	if r.ended[id] {
+		return
+	}
+	r.left[id] = true
+	if !r.deaf {
+		r.c.Withdraw("entry", id)
+	}
 }
 
 // take carries decisions out.
 func (r *replay) take(decisions []coordinator.Decision, now time.Time) {
 	for _, d := range decisions {
 		x := r.asks[d.ID]
+		if d.Upstream == "" {
+			r.ended[d.ID] = true
+		}
+		if d.Upstream == "" && x.repeated < r.repeats {
+			x.repeated++
+			r.schedule(now.Add(time.Millisecond), func(now time.Time) { r.ask(x, now) })
+			continue
+		}
 		if d.Upstream == "" {
 			r.refused[x.tier]++
 			r.inVain += now.Sub(x.at)
 			continue
 		}
 		e := r.engines[d.Upstream]
-		if e.down(now.Sub(start)) {
+		if !e.take(now.Sub(start)) {
 			r.schedule(now.Add(time.Millisecond), func(now time.Time) {
 				r.c.Finish("entry", coordinator.Finish{ID: d.ID, Ending: coordinator.Unreached}, now)
 				r.c.Ask("entry", coordinator.Ask{
@@ -199,9 +295,13 @@
 			continue
 		}
 		first, end := e.start(x.prompt, x.output, now)
-		if first.Sub(x.at) <= x.objective {
+		r.ended[d.ID] = true
+		switch {
+		case r.left[d.ID]:
+			// The work is done for nobody.
+		case first.Sub(x.at) <= x.objective:
 			r.inTime[x.tier]++
-		} else {
+		default:
 			r.late[x.tier]++
 		}
 		r.schedule(first, func(time.Time) {
