coordinator: the benchmark beside a queue keeps its queue

Early rejection emptied the queue that BenchmarkAdvance was to decide beside, and refusals counted as running requests. It switches forecasts off, counts grants alone and reports how many wait.

--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -305,9 +305,12 @@
 // BenchmarkAdvance decides beside a long queue: one request ends and one
 // comes with each step.
 func BenchmarkAdvance(b *testing.B) {
-	for _, waiting := range []int{0, 100, 1900} {
+	// step is the time between two ends; requests wait for 1.4 s at most, so it
+	// bounds the queue.
+	for waiting, step := range map[int]time.Duration{0: 2 * time.Millisecond, 100: 2 * time.Millisecond, 1900: 700 * time.Microsecond} {
 		b.Run(fmt.Sprint(waiting, " waiting"), func(b *testing.B) {
 			c := newCoordinator()
+			c.ForecastNothing()
 			engines(c, 15, nil)
 			id := uint64(0)
 			next := func(now time.Time) {
@@ -319,15 +322,26 @@
 			for range 15*6 + waiting {
 				next(start)
 			}
-			running := c.Advance(start)
+			var running []uint64
+			advance := func(now time.Time) {
+				for _, d := range c.Advance(now) {
+					if d.Upstream != "" {
+						running = append(running, d.ID)
+					}
+				}
+			}
+			advance(start)
 			b.ReportAllocs()
-			now := start
+			now, waited := start, 0
 			for b.Loop() {
-				now = now.Add(2 * time.Millisecond)
+				now = now.Add(step)
 				next(now)
-				c.Finish("entry", coordinator.Finish{ID: running[0].ID}, now)
-				running = append(running[1:], c.Advance(now)...)
+				c.Finish("entry", coordinator.Finish{ID: running[0]}, now)
+				running = running[1:]
+				advance(now)
+				waited += c.Loads(now)[0].Waiting
 			}
+			b.ReportMetric(float64(waited)/float64(b.N), "waiting")
 		})
 	}
 }
