--- a/scheduler/coordinator/doc.go
+++ b/scheduler/coordinator/doc.go
@@ -17,8 +17,10 @@
 //   - waiting (queue.go): bursts above capacity. Upstreams keep no tiers and
 //     run requests in order of arrival, so no more than their slots is sent to
 //     them; the rest waits here by tier.
-//   - refusing (queue.go): sustained overload. A request whose first byte would
-//     come too late is refused at once instead of after a long wait.
+//   - refusing (forecast.go): sustained overload, as when a workspace sends
+//     several times its usual while engines are down. A request that a forecast
+//     says will not be reached in time is refused at once instead of after a
+//     long wait, and told when its turn would come.
 //   - placing (place.go): upstreams that differ in speed, are cold, or fail
 //     part of their requests.
 package coordinator
--- a/scheduler/detector/doc.go
+++ b/scheduler/detector/doc.go
@@ -11,6 +11,12 @@
 // A host starts from a few contact addresses, which may be stale or down, and
 // keeps pinging dead members now and then, so that partitions heal.
 //
+// The oldest live host of a failure domain has duties, so all should soon agree
+// on who it is, also when a hundred hosts have changed at once. Messages carry a
+// digest of whom the sender takes for the oldest. A host that differs answers
+// with whom it means, tells the oldest members that it believes in, and has them
+// corrected by hosts that know better.
+//
 // The Detector takes messages and ticks together with the time and returns
 // the messages to be sent. It has no clock and no socket.
 package detector
