detector: no message outgrows its datagram

Change: a message names 64 members at most, what its receiver needs first in front: that it is suspected, the oldest, its errors, then the piggyback. An introduction no longer counts as having told what it replaced.

--- /dev/null
+++ b/foxtaild/linker/gossip_test.go
@@ -0,0 +1,36 @@
+package linker
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"foxtaillug.org/scheduler/detector"
+)
+
+// TestLargestMessageFitsADatagram encodes a message that names as many members
+// as one may, with names longer than those of the operators' hosts.
+func TestLargestMessageFitsADatagram(t *testing.T) {
+	member := func(i int) detector.Member {
+		return detector.Member{
+			ID: fmt.Sprintf("edge-%s-%d", strings.Repeat("x", 16), i), Address: "10.200.200.200:65535",
+			Domain: strings.Repeat("d", 16), Region: strings.Repeat("r", 10),
+			Incarnation: math.MaxUint64, Started: math.MaxUint64, Status: detector.Suspect,
+			Version: math.MaxUint32, Revision: math.MaxUint32, Leaving: true,
+		}
+	}
+	m := detector.Message{Kind: detector.Ack, Seq: math.MaxUint64, From: member(0), Oldest: math.MaxUint64}
+	for i := range detector.MaxTold {
+		m.Members = append(m.Members, member(1000+i))
+	}
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > maxDatagram {
+		t.Errorf("the largest message takes %d bytes, a datagram %d", len(b), maxDatagram)
+	}
+}
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -300,18 +300,8 @@
 	d.dispute(m)
 	switch m.Kind {
 	case Ping:
-		ack := Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: d.piggyback(), Oldest: d.oldestDigest()}
-		switch {
-		case !known:
-			ack.Members = d.some(m.From.Domain)
-		case m.Oldest != d.oldestDigest():
-			ack.Members = append(ack.Members, d.oldest(m.From.Domain)...)
-		}
-		ack.Members = append(ack.Members, corrections...)
-		if e := d.members[m.From.ID]; e != nil && e.Status != Alive {
-			ack.Members = append(ack.Members, e.Member)
-		}
-		packets = append(packets, Packet{To: from, Message: ack})
+		list := d.answer(m, known, corrections)
+		packets = append(packets, Packet{To: from, Message: Message{Kind: Ack, Seq: m.Seq, From: d.self, Members: list, Oldest: d.oldestDigest()}})
 	case Ack:
 		if r, ok := d.relays[m.Seq]; ok {
 			delete(d.relays, m.Seq)
--- a/scheduler/detector/detector_test.go
+++ b/scheduler/detector/detector_test.go
@@ -39,6 +39,8 @@
 	loss  float64
 	sent  int
 	clock uint64
+	// told is the largest number of members in one message.
+	told int
 	// at finds hosts by their address.
 	at map[string]*node
 }
@@ -87,6 +89,7 @@
 			x := air[0]
 			air = air[1:]
 			f.sent++
+			f.told = max(f.told, len(x.Message.Members))
 			from, to := f.node(x.from), f.node(x.To)
 			if to == nil || !to.running || f.cut != nil && f.cut(from, to) || f.rand.Float64() < f.loss {
 				continue
@@ -356,6 +359,9 @@
 				if own == 0 && ownAt < 0 {
 					ownAt = passed
 				}
+				if f.told > detector.MaxTold {
+					t.Fatalf("a message names %d members, want at most %d", f.told, detector.MaxTold)
+				}
 				if all == 0 {
 					t.Logf("agreed on their own after %v, on all after %v", ownAt, passed)
 					if ownAt > ownBound {
--- a/scheduler/detector/spread.go
+++ b/scheduler/detector/spread.go
@@ -71,6 +71,9 @@
 	introduction = 40
 	// disputedSample is the number of members told to have them corrected.
 	disputedSample = 16
+	// MaxTold bounds the members that one message names, so that it fits into a
+	// datagram of 8 KiB with names of the usual length.
+	MaxTold = 64
 )
 
 // some returns live members for a host that joins: the oldest of each failure
@@ -200,6 +203,26 @@
 	return list
 }
 
+// answer returns the members that travel with the answer to a ping, what the
+// sender needs most first: that it is suspected itself, who is the oldest, and
+// what it has wrong.
+func (d *Detector) answer(ping Message, known bool, corrections []Member) (list []Member) {
+	if e := d.members[ping.From.ID]; e != nil && e.Status != Alive {
+		list = append(list, e.Member)
+	}
+	switch {
+	case !known:
+		list = append(list, d.some(ping.From.Domain)...)
+	case ping.Oldest != d.oldestDigest():
+		list = append(list, d.oldest(ping.From.Domain)...)
+	}
+	list = append(list, corrections...)
+	if known {
+		list = append(list, d.piggyback()...)
+	}
+	return list[:min(MaxTold, len(list))]
+}
+
 // distance is 0 for a member of a failure domain and 1 for any other.
 func distance(e *entry, domain string) int {
 	if e.Domain == domain {
