--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"foxtaillug.org/scheduler/coordinator"
@@ -51,6 +52,10 @@
 	Digest, Prefix uint64
 }
 
+// logDigest returns the digest as it is logged, so that repeats of one request by
+// its caller can be found on all hosts.
+func (r *Request) logDigest() string { return strconv.FormatUint(r.Digest, 16) }
+
 // NoEvent is the LastEventID of a caller that has received no event yet.
 const NoEvent int64 = -1
 
