--- a/foxtaild/linker/linker_test.go
+++ b/foxtaild/linker/linker_test.go
@@ -50,12 +50,18 @@
 
 // startHost starts a host of failure domain "a" and stops it when the test ends.
 func startHost(t *testing.T, name, address string, seeds ...string) *host {
+	t.Helper()
+	return startHostIn(t, name, "a", address, seeds...)
+}
+
+// startHostIn starts a host of a failure domain and stops it when the test ends.
+func startHostIn(t *testing.T, name, domain, address string, seeds ...string) *host {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	dir := directory.New(log)
 	l, err := linker.New(linker.Settings{
-		Host: name, Process: name, Domain: "a", Region: "r", Address: address, Seeds: seeds,
-		Regions:        map[string]string{"a": "r"},
+		Host: name, Process: name, Domain: domain, Region: "r", Address: address, Seeds: seeds,
+		Regions:        map[string]string{domain: "r"},
 		UpdateDeadline: 2500 * time.Millisecond,
 		Bounds:         coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second},
 	}, dir, log)
@@ -75,13 +81,21 @@
 
 // configure gives a host a configuration and one engine with six slots.
 func (h *host) configure(t *testing.T, version uint64) {
+	t.Helper()
+	h.configureWith(t, version, registrar.Entry{ID: "engine", Pool: "engines", Domain: "a", Slots: 6, Address: "127.0.0.1:1"})
+}
+
+// configureWith gives a host a configuration and some engines.
+func (h *host) configureWith(t *testing.T, version uint64, engines ...registrar.Entry) {
 	t.Helper()
 	doc := router.Document{Version: version, Pools: []router.Pool{{Name: "engines"}}}
 	if err := h.dir.Configure(doc); err != nil {
 		t.Fatal(err)
 	}
 	h.dir.Update(version, func(r *registrar.Registrar) {
-		r.Put(registrar.Entry{ID: "engine", Pool: "engines", Domain: "a", Slots: 6, Address: "127.0.0.1:1"})
+		for _, e := range engines {
+			r.Put(e)
+		}
 	})
 	h.dir.MarkListed()
 	h.dir.RecordStoreResponse(time.Now())
