inspector, quarantiner, linker, forwarder: every host knows which requests crash upstreams

Cause, shown by the three failing tests of before: a crash was recognised only if another request found the upstream refusing connections within 1.5 s; the record lived in the coordinator of one failure domain and ended with it; and coordinators took the higher of their counts in place of the sum. Class of fault: knowledge that must outlive its holder was kept at one host, and depended on other traffic to come into being.

Change: - inspector: the entry host that loses a connection checks the upstream's health on a new connection. Refused, unreachable or ended without a response is a crash; any response is not. Requests sent to an upstream known to be dead are no suspects. - quarantiner: reports are identified by digest and upstream process and only change from counted to cleared, so hosts merge them in any order. Hosts whose confirmed digests differ correct each other, so a restarted host learns them with its first acks. Older builds skip the field. - forwarder: asks before the grant and again before the first byte. - platform: the digest covers the workspace, method and host too; a success of another workspace must not clear a report. - coordinator: its own quarantine is gone. TestCrashingRequestIsQuarantined and TestLostConnectionsDoNotQuarantine moved to inspector; they demand the same (refused after 2 crashes, at most 3 before; never after 20 lost connections) and cover more kinds of upstream. - /v1: owners use the same reports; peers exchange them with their gossip. Peers of the build before ignore them during an upgrade.

Ruled out: a bare connect as the check (a proxy before a dead upstream accepts); counting each lost connection (a failure of many upstreams would refuse popular requests, and half an hour of refusal would outlast it).

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -191,6 +191,17 @@
 	return 1
 }
 
+// HealthPath returns the path of the health checks of a pool's upstreams, "" if
+// there is none.
+func (d *Directory) HealthPath(pool string) string {
+	if t := d.Table(); t != nil {
+		if p, ok := t.Pool(pool); ok {
+			return p.HealthPath
+		}
+	}
+	return ""
+}
+
 // UsableUpstreams returns all upstreams that may receive new requests.
 func (d *Directory) UsableUpstreams(now time.Time) []registrar.Entry {
 	d.mu.Lock()
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -18,6 +18,7 @@
 
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/registrar"
 	"foxtaillug.org/scheduler/router"
 )
 
@@ -61,10 +62,12 @@
 // attempt is the exchange of a request with one upstream.
 type attempt struct {
 	*handler
-	grant  Grant
-	conn   *connector.Conn
-	start  time.Time
-	finish coordinator.Finish
+	grant Grant
+	// upstream is the entry of the upstream that the request was sent to.
+	upstream registrar.Entry
+	conn     *connector.Conn
+	start    time.Time
+	finish   coordinator.Finish
 	// written receives the result of a request write that runs while the
 	// response is read; nil if there is no such write.
 	written chan error
@@ -79,6 +82,7 @@
 		a.finish.Ending = res.ending
 		a.finish.Total = time.Since(a.start)
 		g.ReportFinish(a.finish)
+		a.recordRun(res)
 	}()
 	id := g.Upstream
 	entry, ok := h.directory.Usable(id, time.Now())
@@ -100,6 +104,22 @@
 	return res
 }
 
+// recordRun tells the quarantine how a run ended at the upstream. The upstream may
+// be alive after an error of its own, but only a success shows that it can run the
+// request.
+func (a *attempt) recordRun(res attemptResult) {
+	switch {
+	case a.upstream.ID == "":
+	case res.ending == coordinator.ConnectionLost, res.ending == coordinator.TimedOut:
+		a.quarantine.RecordLoss(a.r.Digest, a.upstream, a.start)
+	case res.ending != coordinator.Complete, res.status/100 != 2:
+	case a.r.Route.Kind == router.Streaming && a.finish.FirstToken == 0:
+		// A stream without events may be one that the upstream's crash has ended.
+	default:
+		a.quarantine.RecordComplete(a.r.Digest, a.upstream)
+	}
+}
+
 // reusable reports whether the connection can carry another request: it is open
 // and the request has been written completely.
 func (a *attempt) reusable() bool {
@@ -152,13 +172,17 @@
 	if !ok || ctx.Err() != nil {
 		return a.endUnused("upstreamLeft")
 	}
+	if a.quarantine.Refuses(a.r.Digest) {
+		a.refuseQuarantined()
+		return attemptResult{ending: coordinator.Unused, final: true}
+	}
 	_ = a.conn.SetDeadline(a.r.Deadline)
 	head := a.codec.Encode(make([]byte, 0, headBufferBytes), a.r, Dispatch{Upstream: entry, Remaining: left, LastEventID: a.lastEventID, Trace: traceContext(ctx)})
 	a.tried = append(a.tried, a.grant.Upstream)
 	a.dispatched++
 	before := a.mayHaveRun
 	a.mayHaveRun = true
-	a.start = now
+	a.start, a.upstream = now, entry
 	if err := a.writeRequest(head); err != nil {
 		return a.endLost(ctx, err)
 	}
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -43,6 +43,9 @@
 	// defaultRetryAfter is the retry delay sent to callers when no coordinator
 	// has set one.
 	defaultRetryAfter = 300 * time.Millisecond
+	// quarantineRetryAfter is the retry delay sent to callers whose request crashes
+	// upstreams. The refusal lasts longer than callers wait.
+	quarantineRetryAfter = 2 * time.Second
 )
 
 // Forwarder forwards requests. It is safe for concurrent use.
@@ -51,9 +54,11 @@
 	codec     Codec
 	connector *connector.Connector
 	directory Directory
-	log       *slog.Logger
-	tracer    trace.Tracer
-	observe   func(contract.Explanation, time.Duration)
+	// quarantine refuses requests that crash upstreams.
+	quarantine Quarantine
+	log        *slog.Logger
+	tracer     trace.Tracer
+	observe    func(contract.Explanation, time.Duration)
 	// terminator is the prefix of the line that marks the last event of a
 	// complete stream; empty if streams have no such event.
 	terminator []byte
@@ -90,11 +95,17 @@
 	return func(f *Forwarder) { f.maxResponseBytes = n }
 }
 
+// WithQuarantine sets the quarantine that refuses requests that crash upstreams.
+// Without it the Admitter is expected to refuse them.
+func WithQuarantine(q Quarantine) Option {
+	return func(f *Forwarder) { f.quarantine = q }
+}
+
 // New returns a forwarder.
 func New(a Admitter, c Codec, conns *connector.Connector, d Directory, log *slog.Logger, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		admitter: a, codec: c, connector: conns, directory: d, log: log,
-		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes,
+		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, quarantine: noQuarantine{},
 		observe: func(contract.Explanation, time.Duration) {},
 	}
 	for _, opt := range opts {
@@ -234,6 +245,10 @@
 // kept unless the request may already have run.
 func (h *handler) requestGrant(ctx context.Context) (Grant, bool) {
 	r := h.r
+	if h.quarantine.Refuses(r.Digest) {
+		h.refuseQuarantined()
+		return Grant{}, false
+	}
 	ctx, span := h.tracer.Start(ctx, "grantWait")
 	defer span.End()
 	start := time.Now()
@@ -258,6 +273,14 @@
 	return g, false
 }
 
+// refuseQuarantined sets the refusal of a request that crashes upstreams, unless it
+// may already have run.
+func (h *handler) refuseQuarantined() {
+	if !h.mayHaveRun {
+		h.refusal = Refusal{Outcome: NotRun, Reason: coordinator.Quarantined.String(), RetryAfter: quarantineRetryAfter}
+	}
+}
+
 // setContextRefusal sets the refusal of a request whose deadline has passed or
 // whose caller has disconnected.
 func (h *handler) setContextRefusal(ctx context.Context) {
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -47,8 +47,8 @@
 	// Prompt is the number of prompt tokens and Output the expected number of
 	// generated tokens; both are 0 for a call of a plain service.
 	Prompt, Output int
-	// Digest is a hash of the request's content and Prefix one of the beginning
-	// of its prompt; 0 means none.
+	// Digest is a hash of what a repeat of the request by its caller has in common
+	// with it, and Prefix one of the beginning of its prompt; 0 means none.
 	Digest, Prefix uint64
 }
 
@@ -178,3 +178,22 @@
 type Admitter interface {
 	Admit(ctx context.Context, r coordinator.Request) (Grant, error)
 }
+
+// Quarantine keeps track of requests that crash upstreams. It is safe for
+// concurrent use.
+type Quarantine interface {
+	// Refuses reports whether requests with a digest must not run.
+	Refuses(digest uint64) bool
+	// RecordLoss records that a request was sent to an upstream and that its
+	// connection was lost, or that no response arrived in time.
+	RecordLoss(digest uint64, upstream registrar.Entry, sent time.Time)
+	// RecordComplete records that an upstream has run a request with success.
+	RecordComplete(digest uint64, upstream registrar.Entry)
+}
+
+// noQuarantine refuses nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Refuses(uint64) bool                           { return false }
+func (noQuarantine) RecordLoss(uint64, registrar.Entry, time.Time) {}
+func (noQuarantine) RecordComplete(uint64, registrar.Entry)        {}
--- a/foxtaild/internal/gossiper/gossiper.go
+++ b/foxtaild/internal/gossiper/gossiper.go
@@ -32,9 +32,6 @@
 	fanOut = 4
 	// callTimeout bounds a call to a peer.
 	callTimeout = 2 * time.Second
-	// suspectWindow is how long each message to a peer includes a suspect after
-	// its last crash.
-	suspectWindow = 10 * time.Second
 	// pushDelay is the delay before a push, which merges a burst of updates into
 	// one push.
 	pushDelay = 20 * time.Millisecond
@@ -48,8 +45,10 @@
 
 // Owner is the part of the owner role that exchanges updates with peers.
 type Owner interface {
-	Suspects(since time.Time) []*peerv1.Suspect
-	RecordSuspects(suspects []*peerv1.Suspect)
+	// Suspects returns the crash reports for a peer. If received is not nil, they
+	// are the response to it.
+	Suspects(received *peerv1.SuspectReports) *peerv1.SuspectReports
+	RecordSuspects(reports *peerv1.SuspectReports)
 	Shed(tiers []*peerv1.ShutTier)
 }
 
@@ -168,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := client.Gossip(ctx, g.message())
+	reply, err := client.Gossip(ctx, g.message(nil))
 	if err != nil {
 		return
 	}
@@ -179,12 +178,13 @@
 	}
 }
 
-// message returns the current state of this host for a peer.
-func (g *Gossiper) message() *peerv1.GossipRequest {
+// message returns the current state of this host for a peer, in response to the
+// crash reports received from it if there are any.
+func (g *Gossiper) message(received *peerv1.SuspectReports) *peerv1.GossipRequest {
 	m := &peerv1.GossipRequest{
 		Host:        string(g.tracker.Self().ID()),
 		Incarnation: string(g.incarnation),
-		Suspects:    g.suspects(),
+		Suspects:    g.suspects(received),
 	}
 	if cfg := g.tracker.Config(); cfg != nil {
 		m.ConfigVersion, m.ConfigDigest = cfg.Version().Number(), cfg.Version().Digest()
@@ -192,26 +192,26 @@
 	return m
 }
 
-// suspects returns the suspects whose last crash is within suspectWindow.
-func (g *Gossiper) suspects() []*peerv1.Suspect {
+// suspects returns the crash reports for a peer.
+func (g *Gossiper) suspects(received *peerv1.SuspectReports) *peerv1.SuspectReports {
 	g.mu.Lock()
 	o := g.owner
 	g.mu.Unlock()
 	if o == nil {
 		return nil
 	}
-	return o.Suspects(time.Now().Add(-suspectWindow))
+	return o.Suspects(received)
 }
 
-// record records the incarnation and the suspects that a peer reports.
-func (g *Gossiper) record(id scheduler.HostID, incarnation scheduler.IncarnationID, suspects []*peerv1.Suspect) {
+// record records the incarnation and the crash reports of a peer.
+func (g *Gossiper) record(id scheduler.HostID, incarnation scheduler.IncarnationID, suspects *peerv1.SuspectReports) {
 	g.mu.Lock()
 	if incarnation != "" {
 		g.incarnations[id] = incarnation
 	}
 	o := g.owner
 	g.mu.Unlock()
-	if o != nil {
+	if o != nil && suspects != nil {
 		o.RecordSuspects(suspects)
 	}
 }
@@ -247,7 +247,7 @@
 			}
 		}()
 	}
-	m := g.message()
+	m := g.message(req.Suspects)
 	return &peerv1.GossipReply{
 		Host: m.Host, Incarnation: m.Incarnation,
 		ConfigVersion: m.ConfigVersion, ConfigDigest: m.ConfigDigest, Suspects: m.Suspects,
--- a/foxtaild/internal/granter/granter.go
+++ b/foxtaild/internal/granter/granter.go
@@ -38,8 +38,7 @@
 	slowPollFactor = 4
 	// callTimeout bounds a call to a peer or the read of a load report.
 	callTimeout = time.Second
-	// maxSuspects is the maximum number of suspects, digests of requests that ran
-	// on an upstream when it crashed, in a message to a peer.
+	// maxSuspects is the maximum number of crash reports in a message to a peer.
 	maxSuspects = 256
 )
 
@@ -300,34 +299,48 @@
 	})
 }
 
-// RecordSuspects records the suspects that a peer reports.
-func (g *Granter) RecordSuspects(suspects []*peerv1.Suspect) {
-	if len(suspects) == 0 {
+// RecordSuspects records the crash reports of a peer.
+func (g *Granter) RecordSuspects(reports *peerv1.SuspectReports) {
+	if len(reports.Reports) == 0 {
 		return
 	}
+	m := suspectMessage(reports)
 	g.post(func(a *arbiter.Arbiter, now time.Time) (out arbiter.Actions) {
-		for _, s := range suspects {
-			last := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-			a.RecordSuspect(quarantiner.Digest(s.Digest), int(s.Crashes), last)
-		}
+		a.RecordSuspects(m, now)
 		return out
 	})
 }
 
-// Suspects returns the suspects whose last crash was at or after a time, up to the
-// maximum for one message.
-func (g *Granter) Suspects(since time.Time) (suspects []*peerv1.Suspect) {
+// Suspects returns the crash reports for a peer, up to the maximum for one
+// message. If received is not nil, they are the response to it.
+func (g *Granter) Suspects(received *peerv1.SuspectReports) (reports *peerv1.SuspectReports) {
 	g.call(func(a *arbiter.Arbiter, now time.Time) (out arbiter.Actions) {
-		for _, e := range a.SuspectsSince(since, maxSuspects) {
-			suspects = append(suspects, &peerv1.Suspect{
-				Digest:  uint64(e.Digest()),
-				Crashes: uint32(e.Crashes()),
-				AgeMs:   uint32(now.Sub(e.Last()).Milliseconds()),
+		var m quarantiner.Message
+		if received == nil {
+			m = a.Suspects(maxSuspects, now)
+		} else {
+			m = a.SuspectsFor(suspectMessage(received), maxSuspects, now)
+		}
+		reports = &peerv1.SuspectReports{Confirmed: m.Confirmed}
+		for _, r := range m.Reports {
+			reports.Reports = append(reports.Reports, &peerv1.Suspect{
+				Digest: uint64(r.Digest), Crash: r.Upstream, AgeMs: r.AgeMs, RanMs: r.RanMs, Cleared: r.Cleared,
 			})
 		}
 		return out
 	})
-	return suspects
+	return reports
+}
+
+// suspectMessage decodes crash reports.
+func suspectMessage(reports *peerv1.SuspectReports) quarantiner.Message {
+	m := quarantiner.Message{Confirmed: reports.Confirmed}
+	for _, r := range reports.Reports {
+		m.Reports = append(m.Reports, quarantiner.Report{
+			Digest: quarantiner.Digest(r.Digest), Upstream: r.Crash, AgeMs: r.AgeMs, RanMs: r.RanMs, Cleared: r.Cleared,
+		})
+	}
+	return m
 }
 
 // Status returns the status of this host's upstreams for operators.
--- a/foxtaild/linker/admitter.go
+++ b/foxtaild/linker/admitter.go
@@ -165,7 +165,7 @@
 		return g
 	}
 	r := &runningRequest{
-		Running:  coordinator.Running{ID: req.ID, Upstream: d.Upstream, Prompt: req.Prompt, Output: req.Output, Digest: req.Digest},
+		Running:  coordinator.Running{ID: req.ID, Upstream: d.Upstream, Prompt: req.Prompt, Output: req.Output},
 		deadline: now.Add(req.Left),
 	}
 	if via != nil {
--- a/foxtaild/linker/doc.go
+++ b/foxtaild/linker/doc.go
@@ -7,6 +7,9 @@
 // respond, this host's own coordinator decides, so that no request waits for an
 // election.
 //
+// Membership messages also carry reports of requests that crash upstreams, so that
+// every host refuses them (package inspector).
+//
 // One goroutine owns the coordinator (loop.go) and one owns the membership
 // (gossip.go). Each outgoing link has a reader and a writer goroutine
 // (link.go), and so has each incoming link (server.go). They communicate over
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -42,6 +42,7 @@
 	log       *slog.Logger
 	loop      *loop
 	detector  *detector.Detector
+	crashes   CrashReports
 	udpConn   *net.UDPConn
 	listener  net.Listener
 	view      atomic.Pointer[view]
@@ -74,8 +75,16 @@
 	followers map[*follower]struct{}
 }
 
+// Option configures a Linker.
+type Option func(*Linker)
+
+// WithCrashReports sets the crash reports to exchange with other hosts.
+func WithCrashReports(c CrashReports) Option {
+	return func(l *Linker) { l.crashes = c }
+}
+
 // New opens the sockets of a host. The caller must call Run.
-func New(s Settings, d *directory.Directory, log *slog.Logger) (l *Linker, err error) {
+func New(s Settings, d *directory.Directory, log *slog.Logger, opts ...Option) (l *Linker, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrap(err, "create linker")
@@ -102,6 +111,10 @@
 		localPending: make(map[uint64]chan coordinator.Decision),
 		followers:    make(map[*follower]struct{}),
 		started:      now,
+		crashes:      noCrashReports{},
+	}
+	for _, opt := range opts {
+		opt(l)
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.loop.sinks[s.Host] = l.deliverLocal
--- a/scheduler/arbiter/shedding.go
+++ b/scheduler/arbiter/shedding.go
@@ -69,12 +69,17 @@
 	}
 }
 
-// RecordSuspect records the crashes that a peer reports for a digest.
-func (a *Arbiter) RecordSuspect(d quarantiner.Digest, crashes int, last time.Time) {
-	a.suspects.Merge(d, crashes, last)
+// RecordSuspects records the crash reports of a peer.
+func (a *Arbiter) RecordSuspects(m quarantiner.Message, now time.Time) {
+	a.suspects.Receive(m, now)
 }
 
-// SuspectsSince returns up to n digests whose crash records changed since t.
-func (a *Arbiter) SuspectsSince(t time.Time, n int) []quarantiner.Entry {
-	return a.suspects.Since(t, n)
+// Suspects returns at most n crash reports for any peer.
+func (a *Arbiter) Suspects(n int, now time.Time) quarantiner.Message {
+	return a.suspects.Message(n, now)
+}
+
+// SuspectsFor returns at most n crash reports in response to those of a peer.
+func (a *Arbiter) SuspectsFor(m quarantiner.Message, n int, now time.Time) quarantiner.Message {
+	return a.suspects.Response(m, n, now)
 }
--- a/scheduler/arbiter/upstreams.go
+++ b/scheduler/arbiter/upstreams.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtaillug.org/scheduler"
 	"foxtaillug.org/scheduler/admitter"
 	"foxtaillug.org/scheduler/drainer"
@@ -35,6 +37,9 @@
 	switch ending {
 	case admitter.Complete:
 		rep.ramp.RecordSuccess(granted, usage.FirstToken(), usage.PerToken(), now)
+		if a.suspects.RecordComplete(digest) {
+			out.suspectsChanged = true
+		}
 	case admitter.ConnectFailed:
 		rep.ramp.RecordCrash(now)
 		rep.connectFailedAt = now
@@ -42,11 +47,18 @@
 	case admitter.Crashed:
 		rep.ramp.RecordCrash(now)
 		a.pool(rep.spec.pool).pool.ForgetPrefixes(upstream)
-		a.suspects.RecordCrash([]quarantiner.Digest{digest}, now)
-		out.suspectsChanged = true
+		if digest != 0 && a.suspects.RecordCrash(digest, crashID(upstream, now), granted, now) {
+			out.suspectsChanged = true
+		}
 	}
 }
 
+// crashID identifies a crash: only the owner of an upstream reports its crashes,
+// and each of them once.
+func crashID(upstream scheduler.UpstreamID, now time.Time) uint64 {
+	return xxhash.Sum64String(string(upstream)) ^ uint64(now.UnixNano())
+}
+
 // RecordReport records a load report of an upstream.
 func (a *Arbiter) RecordReport(id scheduler.UpstreamID, r ramper.Report, leaving bool, now time.Time) (out Actions) {
 	a.detectSuspension(now, &out)
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"foxtaillug.org/scheduler/limiter"
-	"foxtaillug.org/scheduler/quarantiner"
 	"foxtaillug.org/scheduler/registrar"
 	"foxtaillug.org/scheduler/router"
 )
@@ -101,10 +100,6 @@
 	pools     map[string]*pool
 	grants    map[key]*grant
 	quotas    map[string]*limiter.Quota
-	suspects  *quarantiner.Quarantiner
-	// crashes counts, by request digest, the crashes that are reported to other
-	// coordinators.
-	crashes map[uint64]int
 	// peers holds the other coordinators by failure domain.
 	peers map[string]peer
 	// decisions are those not yet returned by Advance.
@@ -136,8 +131,6 @@
 		pools:       make(map[string]*pool),
 		grants:      make(map[key]*grant),
 		quotas:      make(map[string]*limiter.Quota),
-		suspects:    quarantiner.New(),
-		crashes:     make(map[uint64]int),
 		peers:       make(map[string]peer),
 		fleet:       Fleet{Hosts: 1},
 		order:       bySlack,
@@ -251,7 +244,7 @@
 		if u == nil || c.grants[key{entry, r.ID}] != nil {
 			continue
 		}
-		c.addGrant(key{entry, r.ID}, Request{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Digest: r.Digest, Left: r.Left}, u, now).markStarted()
+		c.addGrant(key{entry, r.ID}, Request{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Left: r.Left}, u, now).markStarted()
 	}
 }
 
@@ -284,14 +277,11 @@
 			q.RecordUsage(s.Domain, s.Process, used, now)
 		}
 	}
-	for digest, n := range s.Crashes {
-		c.suspects.Merge(quarantiner.Digest(digest), n, now)
-	}
 }
 
 // Summary returns the summary to be sent to other coordinators.
 func (c *Coordinator) Summary(now time.Time) Summary {
-	s := Summary{Process: c.process, Domain: c.fleet.Domain, Free: make(map[string]int), Used: make(map[string]float64), Crashes: maps.Clone(c.crashes)}
+	s := Summary{Process: c.process, Domain: c.fleet.Domain, Free: make(map[string]int), Used: make(map[string]float64)}
 	for name, p := range c.pools {
 		for _, u := range p.members {
 			if u.eligible(now) {
@@ -343,7 +333,7 @@
 		return
 	}
 	c.release(k, g)
-	g.upstream.recordFinish(c, g, f, now)
+	g.upstream.recordFinish(g, f, now)
 	if f.Ending == Complete || f.Ending == Failed || f.Ending == Cancelled {
 		c.pool(g.req.Pool, now).forecaster.recordHold(now.Sub(g.at))
 	}
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -7,7 +7,6 @@
 
 	"foxtaillug.org/scheduler/estimator"
 	"foxtaillug.org/scheduler/limiter"
-	"foxtaillug.org/scheduler/quarantiner"
 	"foxtaillug.org/scheduler/registrar"
 )
 
@@ -29,20 +28,8 @@
 	// coldBurst is the number of requests that may be sent to a cold upstream
 	// at once.
 	coldBurst = 2
-	// maxCrashReports bounds the number of digests sent to other coordinators,
-	// which remember those they received.
-	maxCrashReports = 256
-	// crashWindow is how long a request with a lost connection counts as a
-	// possible cause of an upstream crash detected after it.
-	crashWindow = 1500 * time.Millisecond
 )
 
-// lostRequest is a request whose connection to the upstream was lost.
-type lostRequest struct {
-	digest uint64
-	at     time.Time
-}
-
 // upstream is the state of one upstream.
 type upstream struct {
 	registrar.Entry
@@ -57,7 +44,6 @@
 	unavailable  bool
 	ejectedUntil time.Time
 	failures     int
-	lostRequests []lostRequest
 	// pendingPrompt is the number of prompt tokens that are not yet processed.
 	pendingPrompt int
 }
@@ -197,21 +183,16 @@
 }
 
 // recordFinish updates the upstream's state with how a request ended.
-func (u *upstream) recordFinish(c *Coordinator, g *grant, f Finish, now time.Time) {
+func (u *upstream) recordFinish(g *grant, f Finish, now time.Time) {
 	switch f.Ending {
 	case Complete:
 		u.failures = 0
-		u.lostRequests = nil
 		u.speed.ObserveResult(true)
 		u.observeSpeed(g, f)
-	case Failed, TimedOut:
+	case Failed, TimedOut, ConnectionLost:
 		u.speed.ObserveResult(false)
-	case ConnectionLost:
-		u.speed.ObserveResult(false)
-		u.lostRequests = append(u.lostRequests, lostRequest{digest: g.req.Digest, at: now})
 	case ConnectFailed:
 		u.eject(now)
-		u.reportCrashes(c, now)
 	case WrongUpstream:
 		u.unavailable = true
 	case Rejected:
@@ -241,22 +222,3 @@
 	u.failures++
 	u.ejectedUntil = now.Add(min(d, maxEjection))
 }
-
-// reportCrashes reports to the quarantiner the requests whose connections were
-// lost right before the upstream went down.
-func (u *upstream) reportCrashes(c *Coordinator, now time.Time) {
-	var digests []quarantiner.Digest
-	for _, l := range u.lostRequests {
-		if now.Sub(l.at) < crashWindow && l.digest != 0 {
-			digests = append(digests, quarantiner.Digest(l.digest))
-			if len(c.crashes) >= maxCrashReports {
-				clear(c.crashes)
-			}
-			c.crashes[l.digest]++
-		}
-	}
-	u.lostRequests = nil
-	if len(digests) > 0 {
-		c.suspects.RecordCrash(digests, now)
-	}
-}
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"foxtaillug.org/scheduler/limiter"
-	"foxtaillug.org/scheduler/quarantiner"
 	"foxtaillug.org/scheduler/router"
 )
 
@@ -87,14 +86,10 @@
 	})
 }
 
-// checkLimits checks a request against the quarantine and the maximum length of
-// the queue, then charges a retry to the retry budget and any other request to
-// the workspace's quota. A redirected request has been charged already. A request
-// that is only suspected of crashing upstreams is not restricted.
+// checkLimits checks a request against the maximum length of the queue, then
+// charges a retry to the retry budget and any other request to the workspace's
+// quota. A redirected request has been charged already.
 func (c *Coordinator) checkLimits(p *pool, r Request, now time.Time) (Reason, time.Duration) {
-	if c.suspects.Verdict(quarantiner.Digest(r.Digest), now) == quarantiner.Refused {
-		return Quarantined, maxRetryAfter
-	}
 	if len(p.waiting) >= maxQueued {
 		return NoCapacity, maxRetryAfter
 	}
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -33,8 +33,8 @@
 	Exclude []string
 	// Regions lists the regions that may serve the request; empty means any.
 	Regions []string
-	// Digest identifies the request's content for the quarantine, Prefix the
-	// start of its prompt; 0 means none.
+	// Digest identifies the request's content for owners that quarantine requests,
+	// Prefix the start of its prompt; 0 means none.
 	Digest, Prefix uint64
 	// Redirected marks a request that another coordinator has already checked
 	// against the limits and redirected; it is not redirected again.
@@ -57,7 +57,8 @@
 	OverQuota
 	// OverRetries means that the pool's retry budget is used up.
 	OverRetries
-	// Quarantined means that earlier runs of the request crashed upstreams.
+	// Quarantined means that earlier runs of the request crashed upstreams. Entry
+	// hosts refuse for this reason, coordinators do not.
 	Quarantined
 )
 
@@ -145,7 +146,6 @@
 	Upstream string
 	Prompt   int
 	Output   int
-	Digest   uint64
 	// Left is the time until the request's deadline.
 	Left time.Duration
 }
@@ -161,8 +161,6 @@
 	// Used is the usage admitted for each workspace since the process started,
 	// in tokens.
 	Used map[string]float64
-	// Crashes counts upstream crashes by request digest.
-	Crashes map[uint64]int
 }
 
 // Load is the load of a pool.
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -150,6 +150,15 @@
 	return packets
 }
 
+// PingRandom returns pings of up to n random live members, for a caller that sends
+// data of its own with them. A missing ack has no effect.
+func (d *Detector) PingRandom(n int, now time.Time) (packets []Packet) {
+	for _, e := range d.randomAlive(n, "") {
+		packets = append(packets, d.ping(e.Address, "", now))
+	}
+	return packets
+}
+
 // Tick advances the detector to the time now and returns the messages to send.
 func (d *Detector) Tick(now time.Time) (packets []Packet) {
 	if d.firstTick.IsZero() {
--- /dev/null
+++ b/scheduler/quarantiner/doc.go
@@ -0,0 +1,22 @@
+// Package quarantiner detects requests that crash upstreams and refuses them.
+//
+// When an upstream crashes, many requests may be in flight, one of which is the
+// cause. Each of them gets a report, which names the request's digest and the
+// upstream's process. A digest with a report is a suspect. It is refused once it
+// has run in two crashes, one after the other, without a run that completed:
+//
+//   - reports of crashes at the same time count once, because a failure of many
+//     upstreams interrupts many copies of a popular request;
+//   - a run that completes clears all earlier reports of its digest.
+//
+// A refusal ends after a time that grows with the number of crashes, so that a
+// request that was suspected wrongly is served again, while one that crashes
+// upstreams for days runs a few times a day.
+//
+// Every host keeps all reports and exchanges them with others (exchange.go). A
+// report is identified by digest and upstream process and can only change from
+// counted to cleared, so hosts may receive reports in any order and any number of
+// times, and a report survives as long as any host that has received it.
+//
+// Digests are hashes; no part of a request is stored.
+package quarantiner
--- /dev/null
+++ b/scheduler/quarantiner/exchange.go
@@ -0,0 +1,158 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// maxTransmissions is how many messages carry a new or changed report.
+const maxTransmissions = 8
+
+// Report is a crash report as hosts exchange it. Times are durations, because
+// the clocks of hosts differ.
+type Report struct {
+	Digest Digest `cbor:"1,keyasint"`
+	// Upstream identifies the process that crashed.
+	Upstream uint64 `cbor:"2,keyasint"`
+	// AgeMs is the time since the connection was lost and RanMs the time from
+	// sending the request to that, in milliseconds.
+	AgeMs uint32 `cbor:"3,keyasint"`
+	RanMs uint32 `cbor:"4,keyasint"`
+	// Crashes is the number of crashes that the host which recorded this one
+	// attributed to the digest then, this one included.
+	Crashes uint8 `cbor:"6,keyasint,omitempty"`
+	// Cleared reports that a request with the digest has completed since.
+	Cleared bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Message carries reports to another host.
+type Message struct {
+	// Confirmed is a hash of the sender's digests with RefuseAfterCrashes crashes
+	// or more. Hosts with different hashes send each other the reports of these
+	// digests.
+	Confirmed uint64   `cbor:"1,keyasint,omitempty"`
+	Reports   []Report `cbor:"2,keyasint,omitempty"`
+}
+
+// Message returns the message to send to any host, with at most n of the reports
+// that are new or have changed.
+func (q *Quarantiner) Message(n int, now time.Time) Message {
+	return Message{Confirmed: q.confirmedHash, Reports: q.takeUnsent(n, now)}
+}
+
+// Response returns the message to send to the host that a message came from, with
+// at most n reports. If the confirmed digests of the two hosts differ, it includes
+// reports of this host's, starting at a random one.
+func (q *Quarantiner) Response(m Message, n int, now time.Time) Message {
+	r := q.Message(n, now)
+	if m.Confirmed == r.Confirmed {
+		return r
+	}
+	for d, rec := range q.confirmed {
+		for upstream, x := range rec.reports {
+			if len(r.Reports) >= n {
+				return r
+			}
+			r.Reports = append(r.Reports, x.encode(d, upstream, now))
+		}
+	}
+	return r
+}
+
+// Receive processes a message from another host. It returns whether it added or
+// changed any report.
+func (q *Quarantiner) Receive(m Message, now time.Time) (changed bool) {
+	for _, x := range m.Reports {
+		if q.Merge(x, now) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Merge merges a report from another host and returns whether it added or changed
+// one.
+func (q *Quarantiner) Merge(x Report, now time.Time) bool {
+	lost := now.Add(-time.Duration(x.AgeMs) * time.Millisecond)
+	sent := lost.Add(-time.Duration(x.RanMs) * time.Millisecond)
+	if q.records[x.Digest] == nil && now.Sub(lost) >= q.retention {
+		return false
+	}
+	added := q.RecordCrash(x.Digest, x.Upstream, sent, lost)
+	own := q.records[x.Digest].reports[x.Upstream]
+	if own == nil {
+		return false
+	}
+	if added {
+		own.received, own.crashes = true, min(int(x.Crashes), maxReportsPerDigest)
+		q.recordChange(x.Digest, x.Upstream)
+	}
+	switch {
+	case x.Cleared && !own.cleared:
+		own.cleared = true
+		q.recordChange(x.Digest, x.Upstream)
+		return true
+	case own.cleared && !x.Cleared:
+		// The sender does not know that the report is cleared.
+		q.recordChange(x.Digest, x.Upstream)
+	case own.received && lost.Before(own.lost):
+		// The longer a report is on its way, the younger it seems.
+		own.sent, own.lost = sent, lost
+		r := q.records[x.Digest]
+		r.count()
+		q.setConfirmed(x.Digest, r, r.confirmed())
+	}
+	return added
+}
+
+// Pending reports whether there are reports that no message has carried.
+func (q *Quarantiner) Pending() bool {
+	for _, x := range q.unsent {
+		if x.transmissions == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// encode returns a report for another host.
+func (r *report) encode(d Digest, upstream uint64, now time.Time) Report {
+	return Report{
+		Digest: d, Upstream: upstream, Crashes: uint8(min(r.crashes, maxReportsPerDigest)), Cleared: r.cleared,
+		AgeMs: milliseconds(now.Sub(r.lost)), RanMs: milliseconds(r.lost.Sub(r.sent)),
+	}
+}
+
+// milliseconds converts a duration. A negative one becomes 0 and one that is too
+// long becomes the longest.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
+// takeUnsent returns at most n of the reports that are new or have changed and
+// counts them as carried by one more message. Reports of confirmed digests go
+// first, then those carried by the fewest messages, and of these the latest.
+func (q *Quarantiner) takeUnsent(n int, now time.Time) []Report {
+	keys := slices.SortedFunc(maps.Keys(q.unsent), func(a, b reportKey) int {
+		x, y := q.unsent[a], q.unsent[b]
+		if c := q.confirmed[a.digest] != nil; c != (q.confirmed[b.digest] != nil) {
+			if c {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(x.transmissions, y.transmissions), y.lost.Compare(x.lost), cmp.Compare(a.digest, b.digest), cmp.Compare(a.upstream, b.upstream))
+	})
+	reports := make([]Report, 0, min(n, len(keys)))
+	for _, k := range keys[:min(n, len(keys))] {
+		x := q.unsent[k]
+		reports = append(reports, x.encode(k.digest, k.upstream, now))
+		if x.transmissions++; x.transmissions >= maxTransmissions {
+			delete(q.unsent, k)
+		}
+	}
+	return reports
+}
--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -1,28 +1,38 @@
-// Package quarantiner detects requests that crash upstreams and refuses them.
-//
-// When an upstream crashes, many requests may be in flight, one of which is the
-// cause. All of them become suspects. The caller should let an upstream run at
-// most one suspect at a time, along with other requests, so that if it crashes
-// again, the cause is known: the suspect in flight is confirmed as the cause and
-// its digest is refused from then on. Digests are keyed hashes; no part of a
-// request is stored.
 package quarantiner
 
 import (
+	"math/bits"
+	"slices"
 	"time"
 )
 
 const (
-	// DefaultRetention is how long a digest is kept after its last crash.
+	// DefaultRetention is the minimum time that a digest is kept after its last
+	// crash.
 	DefaultRetention = 30 * time.Minute
 	// DefaultCapacity is the maximum number of digests kept.
-	DefaultCapacity = 16384
+	DefaultCapacity = 4096
 	// RefuseAfterCrashes is the number of crashes from which on a digest is
 	// refused.
 	RefuseAfterCrashes = 2
+	// minRefusal is how long a digest is refused after RefuseAfterCrashes crashes.
+	// Each further crash multiplies it by refusalFactor: a request that always
+	// crashes its upstream runs five times on its first day.
+	minRefusal    = time.Minute
+	refusalFactor = 10
+	// maxReportsPerDigest is the number of reports kept of one digest.
+	maxReportsPerDigest = 8
+	// orderTolerance is by how much the times of reports from different hosts may
+	// differ because of the time that the reports took to arrive.
+	orderTolerance = 50 * time.Millisecond
+	// expiryInterval is the minimum time between two scans for expired digests.
+	expiryInterval = time.Minute
+	// mixMultiplier is the odd constant of a multiplicative hash: 2^64 divided by
+	// the golden ratio.
+	mixMultiplier = 0x9e3779b97f4a7c15
 )
 
-// Digest is a keyed hash of a request's model and body.
+// Digest is a hash of what identifies a repeated request.
 type Digest uint64
 
 // Verdict says whether and how a request with a given digest may run.
@@ -39,41 +49,129 @@
 	Refused
 )
 
-// record is the crash history of one digest.
-type record struct {
+// String returns the verdict's name in logs.
+func (v Verdict) String() string { return [...]string{"clean", "suspect", "refused"}[v] }
+
+// report is what is known about one digest in the crash of one upstream process.
+type report struct {
+	// sent is when the request was sent and lost when its connection was lost.
+	sent, lost time.Time
+	// crashes is the number of crashes that the host which recorded this one
+	// attributed to the digest then, this one included.
 	crashes int
-	last    time.Time
+	// received is set if another host recorded the crash, which makes the times
+	// less exact.
+	received bool
+	// cleared reports do not count.
+	cleared bool
+	// transmissions counts how many messages have carried the report since it was
+	// new or changed.
+	transmissions int
+}
+
+// follows reports whether a run was sent after another one was lost.
+func (r *report) follows(before *report) bool {
+	if !r.received && !before.received {
+		return !r.sent.Before(before.lost)
+	}
+	return !r.sent.Before(before.lost.Add(-orderTolerance)) && !r.lost.Before(before.lost.Add(orderTolerance))
+}
+
+// record holds the reports of one digest by upstream process.
+type record struct {
+	reports map[uint64]*report
+	// crashes is the number of crashes that follow each other and lastCrash the
+	// time of the last of them, without cleared reports. lastReport includes these.
+	crashes               int
+	lastCrash, lastReport time.Time
+}
+
+// count sets crashes to the size of the largest set of runs that follow each
+// other, or to what another host has counted if that is more.
+func (r *record) count() {
+	runs := make([]*report, 0, len(r.reports))
+	r.lastReport = time.Time{}
+	for _, x := range r.reports {
+		if !x.cleared {
+			runs = append(runs, x)
+		}
+		if x.lost.After(r.lastReport) {
+			r.lastReport = x.lost
+		}
+	}
+	slices.SortFunc(runs, func(a, b *report) int { return a.lost.Compare(b.lost) })
+	r.crashes, r.lastCrash = 0, time.Time{}
+	counted, most := (*report)(nil), 0
+	for _, x := range runs {
+		if counted == nil || x.follows(counted) {
+			counted = x
+			r.crashes++
+		}
+		most = max(most, x.crashes)
+		r.lastCrash = x.lost
+	}
+	r.crashes = max(r.crashes, most)
+}
+
+// confirmed reports whether the digest has crashed enough upstreams to be refused.
+func (r *record) confirmed() bool { return r.crashes >= RefuseAfterCrashes }
+
+// refusal returns how long a digest is refused after a number of crashes.
+func refusal(crashes int) time.Duration {
+	if crashes < RefuseAfterCrashes {
+		return 0
+	}
+	d := minRefusal
+	for range crashes - RefuseAfterCrashes {
+		d *= refusalFactor
+	}
+	return d
 }
 
-// Quarantiner keeps the crash history of request digests. It is not safe for
+// Quarantiner keeps the crash reports of request digests. It is not safe for
 // concurrent use.
 type Quarantiner struct {
-	retention time.Duration
-	capacity  int
-	records   map[Digest]record
-	order     []Digest
+	retention  time.Duration
+	capacity   int
+	records    map[Digest]*record
+	lastExpiry time.Time
+	// confirmed holds the digests with RefuseAfterCrashes crashes or more, and
+	// confirmedHash is a hash of them that does not depend on their order.
+	confirmed     map[Digest]*record
+	confirmedHash uint64
+	// unsent holds the reports that fewer than maxTransmissions messages have
+	// carried.
+	unsent map[reportKey]*report
+}
+
+// reportKey identifies a report.
+type reportKey struct {
+	digest   Digest
+	upstream uint64
 }
 
 // Option configures a Quarantiner.
 type Option func(*Quarantiner)
 
-// WithRetention sets how long a digest is kept after its last crash.
+// WithRetention sets the minimum time that a digest is kept after its last crash.
 func WithRetention(d time.Duration) Option {
 	return func(q *Quarantiner) { q.retention = d }
 }
 
-// WithCapacity sets the maximum number of digests kept; the oldest are removed
-// first.
+// WithCapacity sets the maximum number of digests kept. Those are removed first
+// that have crashed the fewest upstreams, and of these the oldest.
 func WithCapacity(n int) Option {
 	return func(q *Quarantiner) { q.capacity = n }
 }
 
-// New returns a quarantiner without any crash history.
+// New returns a quarantiner without any reports.
 func New(opts ...Option) *Quarantiner {
 	q := &Quarantiner{
 		retention: DefaultRetention,
 		capacity:  DefaultCapacity,
-		records:   make(map[Digest]record),
+		records:   make(map[Digest]*record),
+		confirmed: make(map[Digest]*record),
+		unsent:    make(map[reportKey]*report),
 	}
 	for _, opt := range opts {
 		opt(q)
@@ -81,89 +179,156 @@
 	return q
 }
 
+// Len returns the number of digests kept, and how many of them have crashed
+// RefuseAfterCrashes upstreams or more.
+func (q *Quarantiner) Len() (digests, confirmed int) { return len(q.records), len(q.confirmed) }
+
 // Verdict returns whether and how a request with the digest may run.
 func (q *Quarantiner) Verdict(d Digest, now time.Time) Verdict {
-	r, ok := q.records[d]
+	r := q.records[d]
+	if r == nil || r.crashes == 0 {
+		return Clean
+	}
+	age := now.Sub(r.lastCrash)
 	switch {
-	case !ok || now.Sub(r.last) >= q.retention:
+	case age >= q.retentionOf(r):
 		return Clean
-	case r.crashes >= RefuseAfterCrashes:
+	case r.confirmed() && age < refusal(r.crashes):
 		return Refused
 	default:
 		return Suspect
 	}
 }
 
-// RecordCrash records the crash of an upstream that had requests with the given
-// digests in flight. If one of them was a suspect already, it is confirmed as the
-// cause and the others do not become suspects. Of several suspects, the first one
-// listed is confirmed.
-func (q *Quarantiner) RecordCrash(inflight []Digest, now time.Time) {
-	for _, d := range inflight {
-		if q.Verdict(d, now) == Suspect {
-			q.put(d, RefuseAfterCrashes, now)
-			return
-		}
-	}
-	for _, d := range inflight {
-		if q.Verdict(d, now) == Clean {
-			q.put(d, 1, now)
-		}
+// Crashes returns the number of crashes attributed to a digest.
+func (q *Quarantiner) Crashes(d Digest) int {
+	if r := q.records[d]; r != nil {
+		return r.crashes
 	}
+	return 0
 }
 
-// Merge merges the record that a peer has of a digest; the higher crash count and
-// the later time are kept.
-func (q *Quarantiner) Merge(d Digest, crashes int, last time.Time) {
+// retentionOf returns how long a record is kept after its last crash: beyond its
+// refusal, so that a further crash extends the refusal.
+func (q *Quarantiner) retentionOf(r *record) time.Duration {
+	return max(q.retention, 2*refusal(r.crashes))
+}
+
+// RecordCrash records that an upstream process crashed while a request with the
+// digest was in flight. It returns whether that is a new report.
+func (q *Quarantiner) RecordCrash(d Digest, upstream uint64, sent, lost time.Time) bool {
+	q.expire(lost)
 	r := q.records[d]
-	q.put(d, max(r.crashes, min(crashes, RefuseAfterCrashes)), latest(r.last, last))
+	if r == nil {
+		r = &record{reports: make(map[uint64]*report)}
+		q.records[d] = r
+	}
+	if r.reports[upstream] != nil || len(r.reports) >= maxReportsPerDigest && !q.removeCleared(d) {
+		return false
+	}
+	x := &report{sent: sent, lost: lost}
+	r.reports[upstream] = x
+	q.recordChange(d, upstream)
+	x.crashes = r.crashes
+	q.evict(d)
+	return true
 }
 
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// removeCleared removes a cleared report of a digest and returns whether there was
+// one.
+func (q *Quarantiner) removeCleared(d Digest) bool {
+	for upstream, x := range q.records[d].reports {
+		if x.cleared {
+			delete(q.records[d].reports, upstream)
+			delete(q.unsent, reportKey{d, upstream})
+			return true
+		}
 	}
-	return b
+	return false
 }
 
-// put stores a record and removes the oldest ones in excess of the capacity.
-func (q *Quarantiner) put(d Digest, crashes int, last time.Time) {
-	if _, ok := q.records[d]; !ok {
-		q.order = append(q.order, d)
+// RecordComplete records that a request with the digest has run and completed. It
+// returns whether that cleared any report.
+func (q *Quarantiner) RecordComplete(d Digest) (cleared bool) {
+	r := q.records[d]
+	if r == nil {
+		return false
 	}
-	q.records[d] = record{crashes: crashes, last: last}
-	for len(q.order) > q.capacity {
-		delete(q.records, q.order[0])
-		q.order = q.order[1:]
+	for upstream, x := range r.reports {
+		if !x.cleared {
+			x.cleared, cleared = true, true
+			q.recordChange(d, upstream)
+		}
 	}
+	return cleared
 }
 
-// Entry is the crash history of one digest, for reporting to peers.
-type Entry struct {
-	digest  Digest
-	crashes int
-	last    time.Time
+// recordChange updates what depends on a report that is new or has changed, and
+// queues the report for other hosts.
+func (q *Quarantiner) recordChange(d Digest, upstream uint64) {
+	r := q.records[d]
+	r.count()
+	q.setConfirmed(d, r, r.confirmed())
+	x := r.reports[upstream]
+	x.transmissions = 0
+	q.unsent[reportKey{d, upstream}] = x
 }
 
-// Digest returns the digest.
-func (e Entry) Digest() Digest { return e.digest }
+// setConfirmed adds a digest to the confirmed ones or removes it.
+func (q *Quarantiner) setConfirmed(d Digest, r *record, confirmed bool) {
+	if (q.confirmed[d] != nil) == confirmed {
+		return
+	}
+	q.confirmedHash ^= bits.RotateLeft64(uint64(d)*mixMultiplier, 31) * mixMultiplier
+	if confirmed {
+		q.confirmed[d] = r
+	} else {
+		delete(q.confirmed, d)
+	}
+}
 
-// Crashes returns the number of crashes attributed to the digest.
-func (e Entry) Crashes() int { return e.crashes }
+// remove removes a digest.
+func (q *Quarantiner) remove(d Digest) {
+	r := q.records[d]
+	q.setConfirmed(d, r, false)
+	for upstream := range r.reports {
+		delete(q.unsent, reportKey{d, upstream})
+	}
+	delete(q.records, d)
+}
 
-// Last returns the time of the last crash attributed to the digest.
-func (e Entry) Last() time.Time { return e.last }
+// expire removes digests whose retention is over, at most once per
+// expiryInterval.
+func (q *Quarantiner) expire(now time.Time) {
+	if now.Sub(q.lastExpiry) < expiryInterval {
+		return
+	}
+	q.lastExpiry = now
+	for d, r := range q.records {
+		if now.Sub(r.lastReport) >= q.retentionOf(r) {
+			q.remove(d)
+		}
+	}
+}
 
-// Since returns at most n entries whose last crash was at or after t, those added
-// last first.
-func (q *Quarantiner) Since(t time.Time, n int) []Entry {
-	var entries []Entry
-	for i := len(q.order) - 1; i >= 0 && len(entries) < n; i-- {
-		d := q.order[i]
-		if r := q.records[d]; !r.last.Before(t) {
-			entries = append(entries, Entry{digest: d, crashes: r.crashes, last: r.last})
+// evict removes the digest other than the given one that has crashed the fewest
+// upstreams, and of these the one with the oldest reports, if there are more than
+// the capacity allows.
+func (q *Quarantiner) evict(keep Digest) {
+	if len(q.records) <= q.capacity {
+		return
+	}
+	var least Digest
+	var found *record
+	for d, r := range q.records {
+		if d == keep {
+			continue
+		}
+		if found == nil || r.crashes < found.crashes || r.crashes == found.crashes && r.lastReport.Before(found.lastReport) {
+			least, found = d, r
 		}
 	}
-	return entries
+	if found != nil {
+		q.remove(least)
+	}
 }
--- a/scheduler/router/document.go
+++ b/scheduler/router/document.go
@@ -76,6 +76,8 @@
 	ColdRate float64
 	// Stride is the number of tokens in one event of a stream.
 	Stride int
+	// HealthPath is the path of the upstreams' health checks, "" if they have none.
+	HealthPath string
 }
 
 // Workspace is a customer of the operators, with its API keys and quota.
