connector, forwarder: cut off responses without end

An upstream in trouble may send bytes until its caller closes. The head of a response was read without a limit: a status line, a header line or header lines without end were kept in memory until the deadline. Bodies were limited to 8 MiB each, but not all of them together, and hosts have 112 MB.

A connection has a limit on what is read from it, 64 KiB while a head is read. Ruled out: a smaller limit of one response, as nothing says how large a deployment's responses are. A stream of whole events without end is relayed until the request's deadline, as before: it can't be told from a long one.

--- a/foxtaild/connector/connector.go
+++ b/foxtaild/connector/connector.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -45,7 +46,8 @@
 // Conn is a connection to an upstream.
 type Conn struct {
 	net.Conn
-	br *bufio.Reader
+	br      *bufio.Reader
+	limiter *readLimiter
 	// key identifies the upstream and its address.
 	key         string
 	idleTimeout time.Duration
@@ -56,6 +58,33 @@
 // Reader returns the buffered reader for responses on the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.br }
 
+// ErrReadLimit is the error of a read beyond the limit of SetReadLimit.
+var ErrReadLimit = eris.New("upstream sent more bytes than the limit")
+
+// readLimiter bounds the bytes that are read from a connection.
+type readLimiter struct {
+	r io.Reader
+	// left is the number of bytes that may be read; negative means no limit.
+	left int64
+}
+
+// Read reads up to the limit.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if l.left < 0 {
+		return l.r.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrReadLimit
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// SetReadLimit bounds the bytes that can be read from now on, not counting those in
+// the buffer of Reader. A negative limit means none.
+func (c *Conn) SetReadLimit(n int64) { c.limiter.left = n }
+
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -124,7 +153,8 @@
 		return nil, eris.Wrapf(err, "connect to upstream at %s", address)
 	}
 	c.made.Add(1)
-	return &Conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes), key: key, idleTimeout: defaultIdleTimeout}, nil
+	limiter := &readLimiter{r: raw, left: -1}
+	return &Conn{Conn: raw, br: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, key: key, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // takeIdle returns an idle connection that is still usable, or nil. It closes the
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -28,6 +28,10 @@
 	// maxStrayResponses is the number of interim (1xx) responses and responses to
 	// other requests that are skipped in an attempt.
 	maxStrayResponses = 2
+	// maxResponseHeadBytes is the size limit of the head of a response.
+	maxResponseHeadBytes = 64 << 10
+	// bodyReadBytes is the initial size of the buffer for a whole response.
+	bodyReadBytes = 4 << 10
 	// maxInlineWriteBytes is the size of the largest request that is written
 	// before the response is read. Larger requests are written concurrently, as
 	// the upstream may respond before it has read everything.
@@ -247,10 +251,12 @@
 func (a *attempt) readResponseHead() (resp *http.Response, info ResponseInfo, err error) {
 	_ = a.conn.SetReadDeadline(time.Now().Add(a.firstByteTimeout()))
 	for range maxStrayResponses + 1 {
+		a.conn.SetReadLimit(maxResponseHeadBytes)
 		resp, err = http.ReadResponse(a.conn.Reader(), &http.Request{Method: a.r.Method})
 		if err != nil {
 			return nil, info, err
 		}
+		a.conn.SetReadLimit(-1)
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
@@ -312,13 +318,10 @@
 // instead, as the request may be tried at another upstream.
 func (a *attempt) relayWhole(ctx context.Context, resp *http.Response, info ResponseInfo) attemptResult {
 	_ = a.conn.SetReadDeadline(a.r.Deadline)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(a.maxResponseBytes)+1))
+	body, err := a.readBody(resp.Body)
 	if err != nil {
 		return a.endLost(ctx, err)
 	}
-	if len(body) > a.maxResponseBytes {
-		return a.endLost(ctx, errInvalidResponse)
-	}
 	a.finish.Tokens = a.codec.Tokens(body)
 	got := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.Close {
@@ -336,6 +339,28 @@
 	return attemptResult{ending: coordinator.Complete, delivered: res.Complete, final: true, status: res.Status}
 }
 
+// readBody reads a whole body. It fails if the body is larger than
+// maxResponseBytes or if there is no room for it among the buffers of all requests.
+func (a *attempt) readBody(body io.Reader) (b []byte, err error) {
+	for {
+		if len(b) == cap(b) {
+			if b, err = a.growBuffer(b, bodyReadBytes); err != nil {
+				return nil, err
+			}
+		}
+		n, err := body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case len(b) > a.maxResponseBytes:
+			return nil, errInvalidResponse
+		case errors.Is(err, io.EOF):
+			return b, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // closeConn closes a connection that must not be reused after this response.
 func (a *attempt) closeConn() {
 	_ = a.conn.Close()
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -19,8 +19,10 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
@@ -37,6 +39,9 @@
 	// defaultMaxResponseBytes is the size limit of a response that is buffered
 	// until it is complete, unless WithResponseLimit sets another one.
 	defaultMaxResponseBytes = 8 << 20
+	// defaultMaxBufferedBytes is the limit of the response buffers of all requests,
+	// unless WithBufferLimit sets another one.
+	defaultMaxBufferedBytes = 64 << 20
 	// minTimeLeft is the minimum time until the deadline for a request to be
 	// sent.
 	minTimeLeft = 30 * time.Millisecond
@@ -48,6 +53,9 @@
 	quarantineRetryAfter = 2 * time.Second
 )
 
+// errBuffersFull is the error of a response that there is no room for.
+var errBuffersFull = eris.New("response buffers of all requests are full")
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	admitter  Admitter
@@ -65,6 +73,10 @@
 	// maxResponseBytes is the size limit of a response that is buffered until
 	// it is complete.
 	maxResponseBytes int
+	// buffered is the size of the response buffers of all requests, and
+	// maxBufferedBytes its limit.
+	buffered         atomic.Int64
+	maxBufferedBytes int64
 }
 
 // Option configures a Forwarder.
@@ -95,6 +107,12 @@
 	return func(f *Forwarder) { f.maxResponseBytes = n }
 }
 
+// WithBufferLimit sets the maximum size in bytes of the response buffers of all
+// requests together.
+func WithBufferLimit(n int64) Option {
+	return func(f *Forwarder) { f.maxBufferedBytes = n }
+}
+
 // WithQuarantine sets the quarantine that refuses requests that crash upstreams.
 // Without it the Admitter is expected to refuse them.
 func WithQuarantine(q Quarantine) Option {
@@ -105,7 +123,7 @@
 func New(a Admitter, c Codec, conns *connector.Connector, d Directory, log *slog.Logger, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		admitter: a, codec: c, connector: conns, directory: d, log: log,
-		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, quarantine: noQuarantine{},
+		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes, quarantine: noQuarantine{},
 		observe: func(contract.Explanation, time.Duration) {},
 	}
 	for _, opt := range opts {
@@ -144,6 +162,8 @@
 	// other upstream succeeds.
 	failedResponse *response
 	refusal        Refusal
+	// buffered is the size of this request's response buffers.
+	buffered int64
 	// waited is the time spent waiting for grants; endings lists how the
 	// attempts ended.
 	waited  time.Duration
@@ -172,11 +192,24 @@
 	ctx, span := f.tracer.Start(ctx, "entry")
 	defer span.End()
 	h := &handler{Forwarder: f, r: r, responder: responder, lastEventID: r.LastEventID}
+	defer func() { f.buffered.Add(-h.buffered) }()
 	res := h.serve(ctx)
 	h.report(ctx, res)
 	return res
 }
 
+// growBuffer returns a copy of a full buffer with twice its capacity, at least minimum.
+// It fails if the buffers of all requests would exceed their limit. Buffers count
+// until the request ends.
+func (h *handler) growBuffer(b []byte, minimum int) ([]byte, error) {
+	size := max(2*cap(b), minimum)
+	h.buffered += int64(size)
+	if h.Forwarder.buffered.Add(int64(size)) > h.maxBufferedBytes {
+		return nil, errBuffersFull
+	}
+	return append(make([]byte, 0, size), b...), nil
+}
+
 // report logs the request and calls the observer. Requests that failed are
 // logged at the warn level, which has a separate log line budget.
 func (h *handler) report(ctx context.Context, res Result) {
--- a/foxtaild/forwarder/stream.go
+++ b/foxtaild/forwarder/stream.go
@@ -157,7 +157,11 @@
 	for {
 		_ = a.conn.SetReadDeadline(time.Now().Add(a.eventTimeout()))
 		if cap(buf)-len(buf) < streamBufferBytes/2 {
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+			grown, err := a.growBuffer(buf, streamBufferBytes)
+			if err != nil {
+				return err
+			}
+			buf = grown
 		}
 		n, err := body.Read(buf[len(buf):cap(buf)])
 		rest := buf[:len(buf)+n]
