quarantiner: twenty times longer for each further crash

With a factor of ten a request that always crashes its upstream ran six times in 24 h, which is all that is allowed (three crashes and three runs more); one missed crash would have broken it. Five runs now (TestCrashingRequestRunsFewTimesADay).

--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -19,7 +19,7 @@
 	// Each further crash multiplies it by refusalFactor: a request that always
 	// crashes its upstream runs five times on its first day.
 	minRefusal    = time.Minute
-	refusalFactor = 10
+	refusalFactor = 20
 	// maxReportsPerDigest is the number of reports kept of one digest.
 	maxReportsPerDigest = 8
 	// orderTolerance is by how much the times of reports from different hosts may
--- a/scheduler/quarantiner/quarantiner_test.go
+++ b/scheduler/quarantiner/quarantiner_test.go
@@ -103,7 +103,7 @@
 				crash(q, 1, 2, time.Second)
 				crash(q, 1, 3, 61*time.Second)
 			},
-			at:   610 * time.Second,
+			at:   1200 * time.Second,
 			want: quarantiner.Refused,
 		},
 		"after the retention": {
