forwarder: a refusal after a lost run does not say that the request has not run

Callers of an idempotent request got 503 not run although its first upstream may have run it: the connection was lost, the next grant named an upstream that had left or an expired grant, and endUnused set the refusal without looking at earlier attempts. So did the refusal after the last grant.

All refusals that promise this are set in one place now, which keeps what an earlier attempt left behind.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -143,15 +143,13 @@
 
 // endUnused ends an attempt in which no byte was sent.
 func (a *attempt) endUnused(reason string) attemptResult {
-	a.refusal = Refusal{Outcome: NotRun, Reason: reason, RetryAfter: defaultRetryAfter}
+	a.refuse(Refusal{Outcome: NotRun, Reason: reason, RetryAfter: defaultRetryAfter})
 	return attemptResult{ending: coordinator.Unused}
 }
 
 // endUnreached ends an attempt whose upstream could not be connected to.
 func (a *attempt) endUnreached(ctx context.Context, err error) attemptResult {
-	if !a.mayHaveRun {
-		a.refusal = Refusal{Outcome: NotRun, Reason: "unreached", RetryAfter: defaultRetryAfter}
-	}
+	a.refuse(Refusal{Outcome: NotRun, Reason: "unreached", RetryAfter: defaultRetryAfter})
 	if ctx.Err() != nil {
 		a.setContextRefusal(ctx)
 		return attemptResult{ending: coordinator.Unused, final: true}
@@ -285,9 +283,7 @@
 
 // endRejected ends an attempt whose request the upstream has not run.
 func (a *attempt) endRejected(info ResponseInfo) attemptResult {
-	if !a.mayHaveRun {
-		a.refusal = Refusal{Outcome: NotRun, Reason: "upstreamRejected", RetryAfter: defaultRetryAfter}
-	}
+	a.refuse(Refusal{Outcome: NotRun, Reason: "upstreamRejected", RetryAfter: defaultRetryAfter})
 	if info.WrongUpstream {
 		return attemptResult{ending: coordinator.WrongUpstream}
 	}
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -262,7 +262,7 @@
 			return h.giveUp()
 		}
 	}
-	h.refusal = Refusal{Outcome: NotRun, Reason: "noUpstream", RetryAfter: defaultRetryAfter}
+	h.refuse(Refusal{Outcome: NotRun, Reason: "noUpstream", RetryAfter: defaultRetryAfter})
 	return h.giveUp()
 }
 
@@ -300,20 +300,23 @@
 	if g.Refusal == nil {
 		return g, true
 	}
-	if !h.mayHaveRun {
-		h.refusal = *g.Refusal
-	}
+	h.refuse(*g.Refusal)
 	return g, false
 }
 
-// refuseQuarantined sets the refusal of a request that crashes upstreams, unless it
-// may already have run.
-func (h *handler) refuseQuarantined() {
+// refuse sets the refusal of a request that is not run now, unless an earlier
+// attempt may have run it.
+func (h *handler) refuse(r Refusal) {
 	if !h.mayHaveRun {
-		h.refusal = Refusal{Outcome: NotRun, Reason: coordinator.Quarantined.String(), RetryAfter: quarantineRetryAfter}
+		h.refusal = r
 	}
 }
 
+// refuseQuarantined sets the refusal of a request that crashes upstreams.
+func (h *handler) refuseQuarantined() {
+	h.refuse(Refusal{Outcome: NotRun, Reason: coordinator.Quarantined.String(), RetryAfter: quarantineRetryAfter})
+}
+
 // setContextRefusal sets the refusal of a request whose deadline has passed or
 // whose caller has disconnected.
 func (h *handler) setContextRefusal(ctx context.Context) {
--- a/foxtaild/forwarder/forwarder_test.go
+++ b/foxtaild/forwarder/forwarder_test.go
@@ -280,7 +280,8 @@
 // fixture is a forwarder with its admitter.
 type fixture struct {
 	*forwarder.Forwarder
-	admitter *fixedAdmitter
+	admitter  *fixedAdmitter
+	directory *directory.Directory
 }
 
 // newFixture returns a forwarder whose admitter grants the servers in turn.
@@ -296,7 +297,7 @@
 		})
 		admitter.grants = append(admitter.grants, id)
 	}
-	return &fixture{Forwarder: forwarder.New(admitter, testCodec{}, connector.New(), dir, log), admitter: admitter}
+	return &fixture{Forwarder: forwarder.New(admitter, testCodec{}, connector.New(), dir, log), admitter: admitter, directory: dir}
 }
 
 // serve forwards one request.
@@ -435,6 +436,47 @@
 	}
 }
 
+// TestLostRunIsNotRefusedAsNotRun loses the connection of an idempotent request and
+// then grants an upstream that can't be used.
+func TestLostRunIsNotRefusedAsNotRun(t *testing.T) {
+	lost := step{action: resetConn}
+	rejected := step{bytes: response(503, notRunHeader+": 1\r\n", "busy")}
+	tests := map[string]struct {
+		steps []step
+		// grants are the upstreams after those of steps.
+		grants   []string
+		lifetime time.Duration
+		want     string
+	}{
+		"upstream has left":                  {[]step{lost}, []string{"left"}, time.Second, "unknown"},
+		"grants of upstreams that have left": {[]step{lost}, []string{"left", "left", "left", "left"}, time.Second, "unknown"},
+		"no grant":                           {[]step{lost}, nil, time.Second, "unknown"},
+		"unreached":                          {[]step{lost}, []string{"unreached"}, time.Second, "unknown"},
+		"rejected":                           {[]step{lost, rejected}, nil, time.Second, "unknown"},
+		"never sent, upstream has left":      {nil, []string{"left", "left", "left", "left", "left"}, time.Second, "notRun"},
+		"never sent, grant has expired":      {nil, []string{"expired"}, time.Nanosecond, "notRun"},
+		"rejected, then upstream has left":   {[]step{rejected}, []string{"left"}, time.Second, "notRun"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var servers []*server
+			for _, x := range tt.steps {
+				servers = append(servers, newServer(t, x))
+			}
+			s := newFixture(t, servers...)
+			s.admitter.grants, s.admitter.lifetime = append(s.admitter.grants, tt.grants...), tt.lifetime
+			s.directory.Update(2, func(r *registrar.Registrar) {
+				r.Put(registrar.Entry{ID: "unreached", Address: "127.0.0.1:1", Slots: 1})
+				r.Put(registrar.Entry{ID: "expired", Address: newServer(t).l.Addr().String(), Slots: 1})
+			})
+			if got := s.serve(idempotent, "id-1").outcome(); got != tt.want {
+				t.Errorf("the caller received %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestCallerDisconnectAbandonsRequest checks that the upstream connection is
 // closed when the caller disconnects.
 func TestCallerDisconnectAbandonsRequest(t *testing.T) {
