--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -32,6 +32,8 @@
 	maxResponseHeadBytes = 64 << 10
 	// bodyReadBytes is the initial size of the buffer for a whole response.
 	bodyReadBytes = 4 << 10
+	// maxKeepAliveSeconds is the longest timeout of a Keep-Alive header that is used.
+	maxKeepAliveSeconds = 3600
 	// maxInlineWriteBytes is the size of the largest request that is written
 	// before the response is read. Larger requests are written concurrently, as
 	// the upstream may respond before it has read everything.
@@ -274,7 +276,7 @@
 func (a *attempt) setIdleTimeout(h http.Header) {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout="); ok {
-			if s, err := strconv.Atoi(v); err == nil {
+			if s, err := strconv.Atoi(v); err == nil && s >= 0 && s <= maxKeepAliveSeconds {
 				a.conn.SetIdleTimeout(time.Duration(s) * time.Second)
 			}
 		}
