platform, directory, registrar, detector: follow a store that was restored from an older copy

A restored store loses its latest writes, assigns their revisions again and answers 410 to watches from them. Hosts dropped everything below their own revision: they kept upstreams that were gone, took no evacuation and no leaving until the numbers had passed the old ones, missed what was written under reused ones, and listed and watched without a pause.

What a host has seen of leaving, removals and evacuations outlives a restore (registrar.BeginEra); entries that are missing have the grace of an outage. Listings across a restore and responses of an earlier era change nothing.

Ruled out: telling a version number that is used again from an old document written again.

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -1,15 +1,14 @@
 // Package directory holds a host's copy of the configuration in force and of the
 // upstreams. The request path reads it.
 //
-// It is updated from two sources. One is the operators' store, whose revision is
-// a single counter of all changes. The other is a peer: a host that can't read
-// the store adopts the whole state of a peer that has read further. The highest
-// revision wins, so the order in which changes arrive does not matter.
+// It is updated from two sources. One is the operators' store, whose position is its
+// era and a single counter of all changes. The other is a peer: a host that can't
+// read the store adopts the whole state of a peer that has read further. The highest
+// position wins, so the order in which changes arrive does not matter.
 package directory
 
 import (
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,7 +38,13 @@
 	Upstreams []Upstream
 	Removed   []string
 	Evacuated []string
-	Revision  uint64
+	// Era and Revision are the position in the store.
+	Era, Revision uint64
+}
+
+// position returns the snapshot's position in the store.
+func (s *Snapshot) position() registrar.Position {
+	return registrar.Position{Era: s.Era, Revision: s.Revision}
 }
 
 // Cursor marks the changes of a directory that a peer has received. The zero
@@ -62,7 +67,7 @@
 	mu        sync.Mutex
 	document  router.Document
 	registrar *registrar.Registrar
-	revision  uint64
+	position  registrar.Position
 	// listed reports whether a complete listing of the upstreams has been
 	// applied.
 	listed           bool
@@ -82,12 +87,12 @@
 // directory after it has read a count sees all changes up to it.
 func (d *Directory) Changes() uint64 { return d.changes.Load() }
 
-// Revision returns the store revision up to which this host, or the peer whose
+// Position returns the position in the store up to which this host, or the peer whose
 // snapshot it adopted, has read.
-func (d *Directory) Revision() uint64 {
+func (d *Directory) Position() registrar.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.revision
+	return d.position
 }
 
 // Loaded reports whether a configuration and a list of upstreams have been
@@ -122,19 +127,51 @@
 	return nil
 }
 
-// Update applies changes that were read from the store up to a revision. An
-// update with an older revision than the directory's is ignored.
-func (d *Directory) Update(revision uint64, apply func(*registrar.Registrar)) {
+// Update applies changes that were read from the store up to a position. An update
+// from an older position than the directory's is ignored.
+func (d *Directory) Update(p registrar.Position, apply func(*registrar.Registrar)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if revision < d.revision {
+	if p.Compare(d.position) < 0 {
 		return
 	}
 	apply(d.registrar)
-	d.revision = revision
+	d.position = p
 	d.changes.Add(1)
 }
 
+// Listing is a complete listing of the store.
+type Listing struct {
+	Position  registrar.Position
+	Upstreams []registrar.Entry
+	Evacuated []string
+}
+
+// Replace applies a complete listing of the store, unless it is from an older position
+// than the directory's.
+func (d *Directory) Replace(l Listing, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.Position.Compare(d.position) < 0 {
+		return
+	}
+	d.beginEra(l.Position, now)
+	d.registrar.Replace(l.Upstreams, now)
+	d.registrar.ReplaceEvacuations(l.Evacuated)
+	d.position, d.listed = l.Position, true
+	d.changes.Add(1)
+}
+
+// beginEra prepares the registrar for a position of a later era, in which the store has
+// forgotten changes that this host may have seen. The caller holds the lock.
+func (d *Directory) beginEra(p registrar.Position, now time.Time) {
+	if !d.listed || p.Era == d.position.Era {
+		return
+	}
+	d.log.Warn("store restored from an older copy", "from", d.position.String(), "to", p.String())
+	d.registrar.BeginEra(now)
+}
+
 // MarkListed records that a complete listing of the upstreams has been applied.
 func (d *Directory) MarkListed() {
 	d.mu.Lock()
@@ -147,6 +184,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.storeRespondedAt = now
+	if d.registrar.Prune(now) {
+		d.changes.Add(1)
+	}
 }
 
 // RecordStoreFailure records that the store did not respond as expected.
@@ -210,14 +250,15 @@
 }
 
 // Gauges returns metrics: the version of the configuration, the revision up to
-// which the store was read, the seconds since it last responded, and the number
-// of upstreams that may receive new requests.
+// which the store was read and its era, the seconds since it last responded, and
+// the number of upstreams that may receive new requests.
 func (d *Directory) Gauges() []reporter.Gauge {
 	now := time.Now()
-	usable := len(d.UsableUpstreams(now))
+	usable, position := len(d.UsableUpstreams(now)), d.Position()
 	gauges := []reporter.Gauge{
 		{Name: "config_version", Value: float64(d.table.Version())},
-		{Name: "store_revision", Value: float64(d.Revision())},
+		{Name: "store_revision", Value: float64(position.Revision)},
+		{Name: "store_era", Value: float64(position.Era)},
 		{Name: "upstreams_usable", Value: float64(usable)},
 	}
 	if at := d.LastStoreResponse(); !at.IsZero() {
@@ -237,6 +278,9 @@
 	if at.After(d.storeRespondedAt) {
 		d.storeRespondedAt = at
 	}
+	if d.registrar.Prune(time.Now()) {
+		d.changes.Add(1)
+	}
 }
 
 // PeerSyncedWithin reports whether the latest time that RecordPeerSync was called
@@ -257,7 +301,7 @@
 	if !d.listed || d.table.Table() == nil || c.full && c.changes == changes {
 		return s, c, false
 	}
-	s = Snapshot{Full: !c.full, Evacuated: d.registrar.Evacuated(), Revision: d.revision}
+	s = Snapshot{Full: !c.full, Evacuated: d.registrar.Evacuated(), Era: d.position.Era, Revision: d.position.Revision}
 	if d.document.Version != c.version {
 		doc := d.document
 		s.Document = &doc
@@ -278,7 +322,7 @@
 }
 
 // Adopt applies a peer's snapshot: its document if that has a newer version, and
-// its upstreams unless the directory has a newer revision.
+// its upstreams unless the directory has a newer position.
 func (d *Directory) Adopt(s Snapshot, now time.Time) (err error) {
 	defer func() {
 		if err != nil {
@@ -292,9 +336,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.listed && s.Revision < d.revision {
+	if d.listed && s.position().Compare(d.position) < 0 {
 		return nil
 	}
+	d.beginEra(s.position(), now)
 	entries := make([]registrar.Entry, 0, len(s.Upstreams))
 	for _, u := range s.Upstreams {
 		if u.ColdFor > 0 {
@@ -312,17 +357,10 @@
 			d.registrar.Forget(id)
 		}
 	}
-	for _, domain := range d.registrar.Evacuated() {
-		if !slices.Contains(s.Evacuated, domain) {
-			d.registrar.Evacuate(domain, false)
-		}
-	}
-	for _, domain := range s.Evacuated {
-		d.registrar.Evacuate(domain, true)
-	}
-	d.revision = s.Revision
+	d.registrar.ReplaceEvacuations(s.Evacuated)
+	d.position = s.position()
 	d.listed = d.listed || s.Full
 	d.changes.Add(1)
-	d.log.Info("directory taken over from a peer", "revision", s.Revision, "full", s.Full, "upstreams", len(entries), "removed", len(s.Removed))
+	d.log.Info("directory taken over from a peer", "position", d.position.String(), "full", s.Full, "upstreams", len(entries), "removed", len(s.Removed))
 	return nil
 }
--- a/foxtaild/directory/directory_test.go
+++ b/foxtaild/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 	if err := d.Configure(router.Document{Version: version}); err != nil {
 		t.Fatal(err)
 	}
-	d.Update(revision, func(r *registrar.Registrar) {
+	d.Update(registrar.Position{Revision: revision}, func(r *registrar.Registrar) {
 		for _, id := range ids {
 			r.Put(registrar.Entry{ID: id, ColdUntil: now.Add(time.Second)})
 		}
@@ -55,13 +56,13 @@
 	from := newDirectory(t, 3, 10, "a", "b")
 	to := directory.New(slog.New(slog.DiscardHandler))
 	cursor := transfer(t, from, to, directory.Cursor{})
-	if to.Table().Version() != 3 || to.Revision() != 10 || len(ids(to)) != 2 || !to.Loaded() {
-		t.Fatalf("version %d, revision %d, upstreams %v", to.Table().Version(), to.Revision(), ids(to))
+	if to.Table().Version() != 3 || to.Position().Revision != 10 || len(ids(to)) != 2 || !to.Loaded() {
+		t.Fatalf("version %d, position %v, upstreams %v", to.Table().Version(), to.Position(), ids(to))
 	}
 	if _, _, ok := from.Snapshot(cursor, now); ok {
 		t.Error("snapshot without a change")
 	}
-	from.Update(11, func(r *registrar.Registrar) {
+	from.Update(registrar.Position{Revision: 11}, func(r *registrar.Registrar) {
 		r.Forget("a")
 		r.Put(registrar.Entry{ID: "c"})
 		r.Evacuate("d", true)
@@ -98,7 +99,7 @@
 	if fresh.Table().Version() != 4 || ids(fresh)[0] != "b" {
 		t.Errorf("version %d, upstreams %v after an old snapshot", fresh.Table().Version(), ids(fresh))
 	}
-	fresh.Update(11, func(r *registrar.Registrar) { r.Forget("b") })
+	fresh.Update(registrar.Position{Revision: 11}, func(r *registrar.Registrar) { r.Forget("b") })
 	if len(ids(fresh)) != 1 {
 		t.Error("an old update was applied")
 	}
@@ -125,3 +126,23 @@
 		t.Error("response of a second ago is not stale after half a second")
 	}
 }
+
+// TestEarlierEraIsIgnored applies what was read before a restore after it.
+func TestEarlierEraIsIgnored(t *testing.T) {
+	old := newDirectory(t, 3, 10, "a")
+	restored := newDirectory(t, 3, 10, "a")
+	restored.Replace(directory.Listing{Position: registrar.Position{Era: 1, Revision: 5}, Upstreams: []registrar.Entry{{ID: "b"}}}, now)
+	transfer(t, old, restored, directory.Cursor{})
+	restored.Update(registrar.Position{Revision: 99}, func(r *registrar.Registrar) { r.Put(registrar.Entry{ID: "c"}) })
+	restored.Replace(directory.Listing{Position: registrar.Position{Revision: 99}}, now)
+	if got := ids(restored); !slices.Contains(got, "b") || slices.Contains(got, "c") {
+		t.Errorf("upstreams %v, want b and not c", got)
+	}
+	if got, want := restored.Position(), (registrar.Position{Era: 1, Revision: 5}); got != want {
+		t.Errorf("position %v, want %v", got, want)
+	}
+	transfer(t, restored, old, directory.Cursor{})
+	if got, want := old.Position(), restored.Position(); got != want {
+		t.Errorf("position %v after a snapshot of the later era, want %v", got, want)
+	}
+}
--- a/foxtaild/forwarder/forwarder_test.go
+++ b/foxtaild/forwarder/forwarder_test.go
@@ -292,7 +292,7 @@
 	admitter := &fixedAdmitter{}
 	for i, s := range servers {
 		id := fmt.Sprint("upstream-", i)
-		dir.Update(1, func(r *registrar.Registrar) {
+		dir.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) {
 			r.Put(registrar.Entry{ID: id, Address: s.l.Addr().String(), Slots: 1})
 		})
 		admitter.grants = append(admitter.grants, id)
@@ -466,7 +466,7 @@
 			}
 			s := newFixture(t, servers...)
 			s.admitter.grants, s.admitter.lifetime = append(s.admitter.grants, tt.grants...), tt.lifetime
-			s.directory.Update(2, func(r *registrar.Registrar) {
+			s.directory.Update(registrar.Position{Revision: 2}, func(r *registrar.Registrar) {
 				r.Put(registrar.Entry{ID: "unreached", Address: "127.0.0.1:1", Slots: 1})
 				r.Put(registrar.Entry{ID: "expired", Address: newServer(t).l.Addr().String(), Slots: 1})
 			})
--- a/foxtaild/linker/feed_test.go
+++ b/foxtaild/linker/feed_test.go
@@ -19,7 +19,7 @@
 	if err := d.Configure(router.Document{Version: 1, Pools: []router.Pool{{Name: "engines"}}}); err != nil {
 		t.Fatal(err)
 	}
-	d.Update(1, func(r *registrar.Registrar) {
+	d.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) {
 		for i := range n {
 			r.Put(registrar.Entry{ID: fmt.Sprintf("i-%010x", i), Pool: "engines", Domain: "d", Slots: 6, Address: "10.5.64.25:8104"})
 		}
@@ -53,7 +53,7 @@
 	l, updates := newFeedLinker(d, 40)
 	now := time.Now()
 	l.updateFollowers(now)
-	d.Update(2, func(r *registrar.Registrar) { r.Remove("i-0000000001", now) })
+	d.Update(registrar.Position{Revision: 2}, func(r *registrar.Registrar) { r.Remove("i-0000000001", now) })
 	l.updateFollowers(now.Add(feedInterval))
 	shared := make(map[int]*byte)
 	for _, got := range updates {
@@ -96,7 +96,7 @@
 	l.updateFollowers(now)
 	for b.Loop() {
 		revision++
-		d.Update(revision, func(r *registrar.Registrar) {
+		d.Update(registrar.Position{Revision: revision}, func(r *registrar.Registrar) {
 			r.Put(registrar.Entry{ID: "i-new", Pool: "engines", Domain: "d", Slots: 6, Born: int64(revision)})
 		})
 		clear(updates)
--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -123,7 +123,8 @@
 			if t := l.directory.Table(); t != nil {
 				version = t.Version()
 			}
-			l.detector.Announce(version, l.directory.Revision())
+			at := l.directory.Position()
+			l.detector.Announce(version, at.Era, at.Revision)
 			l.sendPackets(l.detector.Tick(time.Now()), nil)
 		}
 		l.updateView(time.Now())
--- a/foxtaild/linker/linker_test.go
+++ b/foxtaild/linker/linker_test.go
@@ -96,7 +96,7 @@
 	if err := h.dir.Configure(doc); err != nil {
 		t.Fatal(err)
 	}
-	h.dir.Update(version, func(r *registrar.Registrar) {
+	h.dir.Update(registrar.Position{Revision: version}, func(r *registrar.Registrar) {
 		for _, e := range engines {
 			r.Put(e)
 		}
@@ -267,7 +267,7 @@
 			return h.dir.Loaded() && h.dir.Table().Version() == 5
 		})
 	}
-	hosts[0].dir.Update(6, func(r *registrar.Registrar) { r.Remove("engine", time.Now()) })
+	hosts[0].dir.Update(registrar.Position{Revision: 6}, func(r *registrar.Registrar) { r.Remove("engine", time.Now()) })
 	eventually(t, "a follower has seen the removal", func() bool {
 		_, usable := hosts[3].dir.Usable("engine", time.Now())
 		return !usable
--- a/foxtaild/linker/peers.go
+++ b/foxtaild/linker/peers.go
@@ -83,21 +83,22 @@
 	}
 }
 
-// mostCurrentPeer returns the live member with the highest store revision among
-// those that have a newer configuration than this host or, if the store does
-// not respond to this host, a newer revision.
+// mostCurrentPeer returns the live member that has read the store furthest among
+// those that have a newer configuration than this host or, if the store does not
+// respond to this host, a later position.
 func (l *Linker) mostCurrentPeer() (best detector.Member, ok bool) {
-	version, revision := uint64(0), l.directory.Revision()
+	at := l.directory.Position()
+	own := detector.Member{Era: at.Era, Revision: at.Revision}
 	if t := l.directory.Table(); t != nil {
-		version = t.Version()
+		own.Version = t.Version()
 	}
 	stale := !l.directory.Loaded() || l.directory.StoreStale(time.Now(), storeStaleAfter)
 	for _, m := range l.Members() {
 		if m.Status != detector.Alive {
 			continue
 		}
-		newer := m.Version > version || stale && m.Revision > revision
-		if newer && (!ok || m.Revision > best.Revision) {
+		newer := m.Version > own.Version || stale && m.ComparePosition(own) > 0
+		if newer && (!ok || m.ComparePosition(best) > 0) {
 			best, ok = m, true
 		}
 	}
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -112,10 +112,10 @@
 // Changes returns how many times the view has changed.
 func (d *Detector) Changes() uint64 { return d.changes }
 
-// Announce sets the configuration version and the store revision that this host
-// reports to others.
-func (d *Detector) Announce(version, revision uint64) {
-	d.self.Version, d.self.Revision = version, revision
+// Announce sets the configuration version and the position in the store, as era and
+// revision, that this host reports to others.
+func (d *Detector) Announce(version, era, revision uint64) {
+	d.self.Version, d.self.Era, d.self.Revision = version, era, revision
 }
 
 // Members returns all members except this host, sorted by ID.
--- a/scheduler/detector/member.go
+++ b/scheduler/detector/member.go
@@ -32,6 +32,14 @@
 	Revision uint64 `cbor:"9,keyasint,omitempty"`
 	// Leaving means that the member takes on no new duties.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
+	// Era is the era of the store to which Revision belongs.
+	Era uint64 `cbor:"11,keyasint,omitempty"`
+}
+
+// ComparePosition orders members by the position in the store up to which they have
+// read.
+func (m Member) ComparePosition(o Member) int {
+	return cmp.Or(cmp.Compare(m.Era, o.Era), cmp.Compare(m.Revision, o.Revision))
 }
 
 // Older reports whether m's process started before o's. Equal start incarnations
--- a/scheduler/detector/spread.go
+++ b/scheduler/detector/spread.go
@@ -273,6 +273,9 @@
 		e.Status = max(e.Status, Suspect)
 	}
 	if m.Incarnation == e.Incarnation {
-		e.Version, e.Revision = max(e.Version, m.Version), max(e.Revision, m.Revision)
+		e.Version = max(e.Version, m.Version)
+		if m.ComparePosition(e.Member) > 0 {
+			e.Era, e.Revision = m.Era, m.Revision
+		}
 	}
 }
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -5,6 +5,10 @@
 // whether an upstream may receive new requests. An entry may also expire merely
 // because the store was unavailable. Such an entry is kept for a grace period
 // after the store returns, during which a live upstream publishes it again.
+//
+// A store that was restored from an older copy has forgotten what was written since.
+// What this host has seen of an upstream's leaving, of its removal and of an
+// evacuation outlives that (restore.go).
 package registrar
 
 import (
@@ -45,13 +49,31 @@
 
 // Registrar is the directory. It is not safe for concurrent use.
 type Registrar struct {
-	records   map[string]*record
-	evacuated map[string]bool
+	records map[string]*record
+	// evacuated holds the evacuated failure domains. The time is the end of an
+	// evacuation that a restored store does not have; it is zero for others.
+	evacuated map[string]time.Time
 	// storeDownAt is the last time at which the store could not be read.
 	storeDownAt time.Time
 	changes     uint64
-	// removed maps removed entries to the value of changes at their removal.
-	removed map[string]uint64
+	// removed holds the entries that were removed.
+	removed map[string]removal
+	// left holds the upstreams that were leaving when the store was restored or have
+	// been since, by ID, with the start time of their process: hosts differ in what they
+	// have seen, and a host that has seen it must not forget it. departed holds those that had been
+	// removed, until departedUntil; held are the entries of these in the restored
+	// store.
+	left, departed map[string]int64
+	departedUntil  time.Time
+	held           map[string]Entry
+}
+
+// removal is an entry that was removed.
+type removal struct {
+	// changed is the value of Registrar.changes at the removal.
+	changed uint64
+	born    int64
+	leaving bool
 }
 
 // maxRemoved bounds the number of removals kept for Since.
@@ -59,7 +81,10 @@
 
 // New returns an empty directory.
 func New() *Registrar {
-	return &Registrar{records: make(map[string]*record), evacuated: make(map[string]bool), removed: make(map[string]uint64)}
+	return &Registrar{
+		records: make(map[string]*record), evacuated: make(map[string]time.Time), removed: make(map[string]removal),
+		left: make(map[string]int64), departed: make(map[string]int64), held: make(map[string]Entry),
+	}
 }
 
 // MarkStoreUnavailable records that the store could not be read at a time.
@@ -71,6 +96,14 @@
 
 // Put adds or updates a published entry.
 func (r *Registrar) Put(e Entry) {
+	if born, ok := r.left[e.ID]; ok && born == e.Born {
+		e.Leaving = true
+	}
+	if e.Leaving && !r.departedUntil.IsZero() {
+		r.left[e.ID] = e.Born
+	}
+	delete(r.departed, e.ID)
+	delete(r.held, e.ID)
 	old := r.records[e.ID]
 	if old != nil && old.Entry == e && old.expiresAt.IsZero() {
 		return
@@ -82,6 +115,7 @@
 
 // Remove records that an entry disappeared from the store.
 func (r *Registrar) Remove(id string, now time.Time) {
+	delete(r.held, id)
 	old := r.records[id]
 	if old == nil {
 		return
@@ -97,7 +131,9 @@
 
 // Forget removes an entry without a grace period.
 func (r *Registrar) Forget(id string) {
-	if r.records[id] == nil {
+	delete(r.held, id)
+	old := r.records[id]
+	if old == nil {
 		return
 	}
 	delete(r.records, id)
@@ -105,7 +141,7 @@
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
 	}
-	r.removed[id] = r.changes
+	r.removed[id] = removal{changed: r.changes, born: old.Born, leaving: old.Leaving}
 }
 
 // Changes returns the number of changes of entries so far.
@@ -119,8 +155,8 @@
 			changed = append(changed, u.Entry)
 		}
 	}
-	for id, at := range r.removed {
-		if at > changes {
+	for id, x := range r.removed {
+		if x.changed > changes {
 			removed = append(removed, id)
 		}
 	}
@@ -133,7 +169,7 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		r.Put(e)
+		r.putListed(e)
 	}
 	for id := range r.records {
 		if !listed[id] {
@@ -142,10 +178,10 @@
 	}
 }
 
-// Evacuate starts or ends the evacuation of a failure domain.
+// Evacuate starts or ends the evacuation of a failure domain, as the store says.
 func (r *Registrar) Evacuate(domain string, on bool) {
 	if on {
-		r.evacuated[domain] = true
+		r.evacuated[domain] = time.Time{}
 	} else {
 		delete(r.evacuated, domain)
 	}
@@ -165,7 +201,10 @@
 // Usable reports whether an upstream may receive new requests.
 func (r *Registrar) Usable(id string, now time.Time) bool {
 	u := r.records[id]
-	if u == nil || u.Leaving || r.evacuated[u.Domain] {
+	if u == nil || u.Leaving {
+		return false
+	}
+	if _, evacuated := r.evacuated[u.Domain]; evacuated {
 		return false
 	}
 	return u.expiresAt.IsZero() || now.Before(u.expiresAt)
@@ -181,14 +220,10 @@
 }
 
 // UsableEntries returns the entries of all upstreams that may receive new
-// requests, sorted by ID, and removes entries whose grace period is over.
+// requests, sorted by ID.
 func (r *Registrar) UsableEntries(now time.Time) []Entry {
 	var list []Entry
 	for id, u := range r.records {
-		if !u.expiresAt.IsZero() && !now.Before(u.expiresAt) {
-			r.Forget(id)
-			continue
-		}
 		if r.Usable(id, now) {
 			list = append(list, u.Entry)
 		}
