quarantiner, inspector, registrar: reports of long refusals reach new hosts; bounds

A report older than 30 minutes was taken only for a known digest, so a host that started while a digest was refused for hours (four crashes and more) did not learn it, and its other peers sent the reports with every message. Hosts without new crashes never removed digests whose retention was over, with the same effect. TestNewHostLearnsOfOldCrashes fails without either change.

The processes whose leaving is kept after a restore are bounded. Quarantiner.Pending was used by nothing.

--- a/foxtaild/inspector/inspector.go
+++ b/foxtaild/inspector/inspector.go
@@ -153,7 +153,8 @@
 		for _, r := range m.Reports {
 			before := q.Verdict(r.Digest, now)
 			q.Merge(r, now)
-			if after := q.Verdict(r.Digest, now); after != before {
+			// Every crash makes suspects on all hosts; the host that reports one logs it.
+			if after := q.Verdict(r.Digest, now); after != before && (after == quarantiner.Refused || before == quarantiner.Refused) {
 				i.logVerdict(r.Digest, after, q.Crashes(r.Digest), "peer")
 			}
 		}
--- a/scheduler/quarantiner/exchange.go
+++ b/scheduler/quarantiner/exchange.go
@@ -40,6 +40,7 @@
 // Message returns the message to send to any host, with at most n of the reports
 // that are new or have changed.
 func (q *Quarantiner) Message(n int, now time.Time) Message {
+	q.expire(now)
 	return Message{Confirmed: q.confirmedHash, Reports: q.takeUnsent(n, now)}
 }
 
@@ -78,7 +79,8 @@
 func (q *Quarantiner) Merge(x Report, now time.Time) bool {
 	lost := now.Add(-time.Duration(x.AgeMs) * time.Millisecond)
 	sent := lost.Add(-time.Duration(x.RanMs) * time.Millisecond)
-	if q.records[x.Digest] == nil && now.Sub(lost) >= q.retention {
+	crashes := min(int(x.Crashes), maxReportsPerDigest)
+	if q.records[x.Digest] == nil && now.Sub(lost) >= q.retentionOf(crashes) {
 		return false
 	}
 	added := q.RecordCrash(x.Digest, x.Upstream, sent, lost)
@@ -87,7 +89,7 @@
 		return false
 	}
 	if added {
-		own.received, own.crashes = true, min(int(x.Crashes), maxReportsPerDigest)
+		own.received, own.crashes = true, crashes
 		q.recordChange(x.Digest, x.Upstream)
 	}
 	switch {
@@ -108,16 +110,6 @@
 	return added
 }
 
-// Pending reports whether there are reports that no message has carried.
-func (q *Quarantiner) Pending() bool {
-	for _, x := range q.unsent {
-		if x.transmissions == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // encode returns a report for another host.
 func (r *report) encode(d Digest, upstream uint64, now time.Time) Report {
 	return Report{
--- a/scheduler/quarantiner/exchange_test.go
+++ b/scheduler/quarantiner/exchange_test.go
@@ -181,6 +181,35 @@
 	}
 }
 
+// TestNewHostLearnsOfOldCrashes starts a host hours after the last of four crashes, when
+// the digest is still refused, and another one after the digest's retention.
+func TestNewHostLearnsOfOldCrashes(t *testing.T) {
+	f := newFleet(3, 1, 0)
+	for range 4 {
+		f.send(0)
+		f.now += 25 * time.Minute
+	}
+	f.now += 3 * time.Hour
+	f.restart(1)
+	for range 5 {
+		f.exchange(1, 0)
+	}
+	if v := f.nodes[1].Verdict(1, f.clock(1)); v != quarantiner.Refused {
+		t.Errorf("verdict of the new host is %v, want refused", v)
+	}
+	f.now += 24 * time.Hour
+	f.restart(2)
+	for range 5 {
+		f.exchange(2, 0)
+	}
+	if d, _ := f.nodes[2].Len(); d != 0 {
+		t.Errorf("a host that started a day later keeps %d digests, want none", d)
+	}
+	if d, _ := f.nodes[0].Len(); d != 0 {
+		t.Errorf("the first host still keeps %d digests", d)
+	}
+}
+
 // TestOrderOfReportsDoesNotMatter merges the same reports in random order.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -191,7 +191,7 @@
 	}
 	age := now.Sub(r.lastCrash)
 	switch {
-	case age >= q.retentionOf(r):
+	case age >= q.retentionOf(r.crashes):
 		return Clean
 	case r.confirmed() && age < refusal(r.crashes):
 		return Refused
@@ -208,10 +208,10 @@
 	return 0
 }
 
-// retentionOf returns how long a record is kept after its last crash: beyond its
-// refusal, so that a further crash extends the refusal.
-func (q *Quarantiner) retentionOf(r *record) time.Duration {
-	return max(q.retention, 2*refusal(r.crashes))
+// retentionOf returns how long a digest is kept after the last of a number of crashes:
+// beyond its refusal, so that a further crash extends the refusal.
+func (q *Quarantiner) retentionOf(crashes int) time.Duration {
+	return max(q.retention, 2*refusal(crashes))
 }
 
 // RecordCrash records that an upstream process crashed while a request with the
@@ -305,7 +305,7 @@
 	}
 	q.lastExpiry = now
 	for d, r := range q.records {
-		if now.Sub(r.lastReport) >= q.retentionOf(r) {
+		if now.Sub(r.lastReport) >= q.retentionOf(r.crashes) {
 			q.remove(d)
 		}
 	}
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -76,7 +76,8 @@
 	leaving bool
 }
 
-// maxRemoved bounds the number of removals kept for Since.
+// maxRemoved bounds the number of removals kept for Since, and that of processes whose
+// leaving is kept after a restore of the store.
 const maxRemoved = 4096
 
 // New returns an empty directory.
@@ -100,7 +101,7 @@
 		e.Leaving = true
 	}
 	if e.Leaving && !r.departedUntil.IsZero() {
-		r.left[e.ID] = e.Born
+		r.recordLeaving(e.ID, e.Born)
 	}
 	delete(r.departed, e.ID)
 	delete(r.held, e.ID)
--- a/scheduler/registrar/restore.go
+++ b/scheduler/registrar/restore.go
@@ -29,12 +29,12 @@
 	for id, x := range r.removed {
 		r.departed[id] = x.born
 		if x.leaving {
-			r.left[id] = x.born
+			r.recordLeaving(id, x.born)
 		}
 	}
 	for id, u := range r.records {
 		if u.Leaving {
-			r.left[id] = u.Born
+			r.recordLeaving(id, u.Born)
 		}
 	}
 	for domain := range r.evacuated {
@@ -42,6 +42,14 @@
 	}
 }
 
+// recordLeaving records that an upstream's process is leaving.
+func (r *Registrar) recordLeaving(id string, born int64) {
+	if len(r.left) >= maxRemoved {
+		clear(r.left)
+	}
+	r.left[id] = born
+}
+
 // putListed adds or updates an entry of a listing.
 func (r *Registrar) putListed(e Entry) {
 	if born, ok := r.departed[e.ID]; ok && born == e.Born {
