--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -163,7 +163,7 @@
 }
 
 // beginEra prepares the registrar for a position of a later era, in which the store has
-// forgotten changes that this host may have seen. The caller holds the lock.
+// lost changes that this host may have applied. The caller holds the lock.
 func (d *Directory) beginEra(p registrar.Position, now time.Time) {
 	if !d.listed || p.Era == d.position.Era {
 		return
--- a/foxtaild/directory/restore_test.go
+++ b/foxtaild/directory/restore_test.go
@@ -92,7 +92,7 @@
 	s.era++
 }
 
-// restoreHost is a simulated host with what it must not forget.
+// restoreHost is a simulated host with the state that must survive a restore.
 type restoreHost struct {
 	*directory.Directory
 	cursor map[*restoreHost]directory.Cursor
@@ -257,7 +257,7 @@
 	h.RecordStoreResponse(f.now)
 }
 
-// follow lets a host receive what another one knows.
+// follow lets a host adopt the changes of another one.
 func (f *restoreFleet) follow(h, from *restoreHost) {
 	s, next, ok := from.Snapshot(h.cursor[from], f.now)
 	if ok && h.Adopt(s, f.now) == nil {
@@ -288,7 +288,7 @@
 	}
 }
 
-// check checks what a host must not forget.
+// check checks the state that must survive a restore.
 func (f *restoreFleet) check(t *rapid.T, i int, h *restoreHost) {
 	for id := range f.upstreams {
 		if e, _ := h.Usable(id, f.now); e.Leaving {
@@ -311,7 +311,7 @@
 
 // TestHostsFollowARestoredStore makes random changes and restores the store from older
 // copies, sometimes twice in a row, while hosts read it, receive it from others, or are
-// cut off. All hosts end with the truth.
+// cut off. All hosts converge to the state of the upstreams and the operators.
 func TestHostsFollowARestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newRestoreFleet(rapid.Uint64().Draw(t, "seed"))
@@ -322,7 +322,7 @@
 			}
 			f.step(t, reach)
 		}
-		// Evacuations that the store has lost go on for 30 s.
+		// Evacuations that the store has lost last another 30 s.
 		for range 40 {
 			f.step(t, 0.9)
 		}
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -110,9 +110,8 @@
 	return res
 }
 
-// recordRun tells the quarantine how a run ended at the upstream. The upstream may
-// be alive after an error of its own, but only a success shows that it can run the
-// request.
+// recordRun reports to the quarantine how a run ended at the upstream. An error of
+// the upstream's own is not reported: it may precede the run.
 func (a *attempt) recordRun(res attemptResult) {
 	switch {
 	case a.upstream.ID == "":
@@ -122,7 +121,7 @@
 	case a.r.Route.Kind == router.Streaming && a.finish.FirstToken == 0:
 		// A stream without events may be one that the upstream's crash has ended.
 	default:
-		a.quarantine.RecordComplete(a.r.Digest, a.upstream)
+		a.quarantine.RecordComplete(a.r.Digest)
 	}
 }
 
--- a/foxtaild/forwarder/quarantine_test.go
+++ b/foxtaild/forwarder/quarantine_test.go
@@ -16,24 +16,25 @@
 	"foxtaillug.org/scheduler/router"
 )
 
-// fakeQuarantine records what it is told and refuses from the n-th question on.
+// fakeQuarantine records the reports that it gets. From the n-th call of Refuses on it
+// refuses.
 type fakeQuarantine struct {
 	mu         sync.Mutex
 	refuseFrom int
-	asked      int
+	calls      int
 	events     []string
 }
 
 func (q *fakeQuarantine) Refuses(uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.asked++
-	return q.refuseFrom > 0 && q.asked >= q.refuseFrom
+	q.calls++
+	return q.refuseFrom > 0 && q.calls >= q.refuseFrom
 }
 
 func (q *fakeQuarantine) RecordLoss(_ uint64, e registrar.Entry, _ time.Time) { q.add("lost " + e.ID) }
 
-func (q *fakeQuarantine) RecordComplete(_ uint64, e registrar.Entry) { q.add("complete " + e.ID) }
+func (q *fakeQuarantine) RecordComplete(uint64) { q.add("complete") }
 
 func (q *fakeQuarantine) add(event string) {
 	q.mu.Lock()
@@ -61,8 +62,7 @@
 	return r
 }
 
-// TestQuarantinedRequestIsNotSent refuses a request at each point at which the
-// quarantine is asked.
+// TestQuarantinedRequestIsNotSent refuses a request at each call of Refuses.
 func TestQuarantinedRequestIsNotSent(t *testing.T) {
 	lost := step{action: resetConn}
 	tests := map[string]struct {
@@ -92,22 +92,21 @@
 	}
 }
 
-// TestRunsAreReportedToQuarantine checks what the quarantine learns about how runs
-// end at upstreams.
+// TestRunsAreReportedToQuarantine checks how the ends of runs are reported.
 func TestRunsAreReportedToQuarantine(t *testing.T) {
 	tests := map[string]struct {
 		route router.Route
 		steps []step
 		want  []string
 	}{
-		"success":                 {idempotent, []step{okResponse("ok")}, []string{"complete a"}},
-		"reset, then success":     {idempotent, []step{{action: resetConn}, okResponse("ok")}, []string{"lost a", "complete b"}},
-		"closed, then success":    {idempotent, []step{{action: closeConn}, okResponse("ok")}, []string{"lost a", "complete b"}},
-		"own error, then success": {idempotent, []step{{bytes: response(500, sealed, "x")}, okResponse("ok")}, []string{"complete b"}},
-		"rejected, then success":  {idempotent, []step{{bytes: response(503, notRunHeader+": 1\r\n", "")}, okResponse("ok")}, []string{"complete b"}},
+		"success":                 {idempotent, []step{okResponse("ok")}, []string{"complete"}},
+		"reset, then success":     {idempotent, []step{{action: resetConn}, okResponse("ok")}, []string{"lost a", "complete"}},
+		"closed, then success":    {idempotent, []step{{action: closeConn}, okResponse("ok")}, []string{"lost a", "complete"}},
+		"own error, then success": {idempotent, []step{{bytes: response(500, sealed, "x")}, okResponse("ok")}, []string{"complete"}},
+		"rejected, then success":  {idempotent, []step{{bytes: response(503, notRunHeader+": 1\r\n", "")}, okResponse("ok")}, []string{"complete"}},
 		"not found":               {idempotent, []step{{bytes: response(404, sealed, "x")}}, nil},
-		"stream":                  {resumable, []step{{bytes: streamHead + events(0, 3) + "0\r\n\r\n"}}, []string{"complete a"}},
-		"stream, then resumed":    {resumable, []step{{bytes: streamHead + events(0, 1), action: closeConn}, {bytes: streamHead + events(2, 3) + "0\r\n\r\n"}}, []string{"lost a", "complete b"}},
+		"stream":                  {resumable, []step{{bytes: streamHead + events(0, 3) + "0\r\n\r\n"}}, []string{"complete"}},
+		"stream, then resumed":    {resumable, []step{{bytes: streamHead + events(0, 1), action: closeConn}, {bytes: streamHead + events(2, 3) + "0\r\n\r\n"}}, []string{"lost a", "complete"}},
 		"stream without events":   {resumable, []step{{bytes: "HTTP/1.1 200 OK\r\n" + idHeader + ": %ID\r\n" + sealed + "\r\n", action: closeConn}}, nil},
 	}
 	for name, tt := range tests {
@@ -119,7 +118,7 @@
 			q := &fakeQuarantine{}
 			serveWithQuarantine(t, q, tt.route, servers...)
 			if !slices.Equal(q.events, tt.want) {
-				t.Errorf("quarantine was told %q, want %q", q.events, tt.want)
+				t.Errorf("reported %q, want %q", q.events, tt.want)
 			}
 		})
 	}
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -188,7 +188,7 @@
 	// connection was lost, or that no response arrived in time.
 	RecordLoss(digest uint64, upstream registrar.Entry, sent time.Time)
 	// RecordComplete records that an upstream has run a request with success.
-	RecordComplete(digest uint64, upstream registrar.Entry)
+	RecordComplete(digest uint64)
 }
 
 // noQuarantine refuses nothing.
@@ -196,4 +196,4 @@
 
 func (noQuarantine) Refuses(uint64) bool                           { return false }
 func (noQuarantine) RecordLoss(uint64, registrar.Entry, time.Time) {}
-func (noQuarantine) RecordComplete(uint64, registrar.Entry)        {}
+func (noQuarantine) RecordComplete(uint64)                         {}
--- a/foxtaild/inspector/inspector.go
+++ b/foxtaild/inspector/inspector.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxQueuedLosses bounds the queue of losses to be looked into. Beyond it they
-	// are dropped and counted.
+	// maxQueuedLosses bounds the queue of losses that wait for a health check. Beyond
+	// it they are dropped and counted.
 	maxQueuedLosses = 1024
 	// maxChecks is the maximum number of concurrent health checks.
 	maxChecks = 8
@@ -37,7 +37,7 @@
 type Inspector struct {
 	log   *slog.Logger
 	check func(ctx context.Context, e registrar.Entry) (result, error)
-	// losses are the losses to be looked into.
+	// losses are the losses that wait for a health check.
 	losses chan loss
 	// changed receives a value when there are new reports for other hosts.
 	changed chan struct{}
@@ -102,7 +102,7 @@
 }
 
 // RecordComplete records that an upstream has run a request with success.
-func (i *Inspector) RecordComplete(digest uint64, _ registrar.Entry) {
+func (i *Inspector) RecordComplete(digest uint64) {
 	if digest == 0 || i.digests.Load() == 0 {
 		return
 	}
@@ -115,9 +115,9 @@
 	i.mu.Lock()
 	send := change(i.reports)
 	digests, confirmed := i.reports.Len()
-	i.mu.Unlock()
 	i.digests.Store(int64(digests))
 	i.confirmed.Store(int64(confirmed))
+	i.mu.Unlock()
 	if send {
 		select {
 		case i.changed <- struct{}{}:
@@ -185,7 +185,7 @@
 }
 
 // Gauges returns metrics: the digests with crash reports, those of them that are
-// confirmed, the health checks by result and the losses that were not looked into.
+// confirmed, the health checks by result and the losses without one.
 func (i *Inspector) Gauges() []reporter.Gauge {
 	gauges := []reporter.Gauge{
 		{Name: "crash_digests", Value: float64(i.digests.Load())},
--- a/foxtaild/inspector/run.go
+++ b/foxtaild/inspector/run.go
@@ -41,7 +41,7 @@
 	outcomes chan outcome
 }
 
-// Run looks into losses until ctx is done.
+// Run checks the upstreams of losses until ctx is done.
 func (i *Inspector) Run(ctx context.Context) {
 	r := runner{Inspector: i, inspections: make(map[uint64]*inspection), outcomes: make(chan outcome, maxChecks)}
 	for {
--- a/foxtaild/internal/granter/granter.go
+++ b/foxtaild/internal/granter/granter.go
@@ -21,7 +21,6 @@
 	"foxtaillug.org/scheduler/arbiter"
 	"foxtaillug.org/scheduler/drainer"
 	"foxtaillug.org/scheduler/leaser"
-	"foxtaillug.org/scheduler/quarantiner"
 	"foxtaillug.org/scheduler/ramper"
 )
 
@@ -38,8 +37,6 @@
 	slowPollFactor = 4
 	// callTimeout bounds a call to a peer or the read of a load report.
 	callTimeout = time.Second
-	// maxSuspects is the maximum number of crash reports in a message to a peer.
-	maxSuspects = 256
 )
 
 // event applies a change to the arbiter at the current time and returns the
@@ -299,50 +296,6 @@
 	})
 }
 
-// RecordSuspects records the crash reports of a peer.
-func (g *Granter) RecordSuspects(reports *peerv1.SuspectReports) {
-	if len(reports.Reports) == 0 {
-		return
-	}
-	m := suspectMessage(reports)
-	g.post(func(a *arbiter.Arbiter, now time.Time) (out arbiter.Actions) {
-		a.RecordSuspects(m, now)
-		return out
-	})
-}
-
-// Suspects returns the crash reports for a peer, up to the maximum for one
-// message. If received is not nil, they are the response to it.
-func (g *Granter) Suspects(received *peerv1.SuspectReports) (reports *peerv1.SuspectReports) {
-	g.call(func(a *arbiter.Arbiter, now time.Time) (out arbiter.Actions) {
-		var m quarantiner.Message
-		if received == nil {
-			m = a.Suspects(maxSuspects, now)
-		} else {
-			m = a.SuspectsFor(suspectMessage(received), maxSuspects, now)
-		}
-		reports = &peerv1.SuspectReports{Confirmed: m.Confirmed}
-		for _, r := range m.Reports {
-			reports.Reports = append(reports.Reports, &peerv1.Suspect{
-				Digest: uint64(r.Digest), Crash: r.Upstream, AgeMs: r.AgeMs, RanMs: r.RanMs, Cleared: r.Cleared,
-			})
-		}
-		return out
-	})
-	return reports
-}
-
-// suspectMessage decodes crash reports.
-func suspectMessage(reports *peerv1.SuspectReports) quarantiner.Message {
-	m := quarantiner.Message{Confirmed: reports.Confirmed}
-	for _, r := range reports.Reports {
-		m.Reports = append(m.Reports, quarantiner.Report{
-			Digest: quarantiner.Digest(r.Digest), Upstream: r.Crash, AgeMs: r.AgeMs, RanMs: r.RanMs, Cleared: r.Cleared,
-		})
-	}
-	return m
-}
-
 // Status returns the status of this host's upstreams for operators.
 func (g *Granter) Status() (status []arbiter.Status) {
 	g.call(func(a *arbiter.Arbiter, now time.Time) (out arbiter.Actions) {
--- a/foxtaild/linker/bench_test.go
+++ b/foxtaild/linker/bench_test.go
@@ -49,7 +49,7 @@
 }
 
 // BenchmarkCrashReportBytes reports the size of a crash report in a membership
-// message, and of the field that tells which digests the sender refuses.
+// message, and of the hash of the digests that the sender refuses.
 func BenchmarkCrashReportBytes(b *testing.B) {
 	size := func(m quarantiner.Message) int {
 		data, err := cbor.Marshal(gossipMessage{Crashes: &m})
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -6,9 +6,9 @@
 // because the store was unavailable. Such an entry is kept for a grace period
 // after the store returns, during which a live upstream publishes it again.
 //
-// A store that was restored from an older copy has forgotten what was written since.
-// What this host has seen of an upstream's leaving, of its removal and of an
-// evacuation outlives that (restore.go).
+// A store that was restored from an older copy has lost what was written since. That
+// an upstream is leaving or was removed, and that a failure domain is evacuated, stays
+// in force here (restore.go).
 package registrar
 
 import (
@@ -59,10 +59,9 @@
 	// removed holds the entries that were removed.
 	removed map[string]removal
 	// left holds the upstreams that were leaving when the store was restored or have
-	// been since, by ID, with the start time of their process: hosts differ in what they
-	// have seen, and a host that has seen it must not forget it. departed holds those that had been
-	// removed, until departedUntil; held are the entries of these in the restored
-	// store.
+	// been since, by ID, with the start time of their process. A peer that has not
+	// received that may report them as ready. departed holds those that had been
+	// removed, until departedUntil, and held their entries in the restored store.
 	left, departed map[string]int64
 	departedUntil  time.Time
 	held           map[string]Entry
