arbiter: return the grants that a lease makes

A host that holds the shares of two replicas, of which one has just expired, and then leases its own share away computes its slots anew; what remains may be usable again and is granted to a request that waits. Arbiter.Lease dropped these actions: the request held a slot until its deadline and its caller waited for nothing.

The granter and the simulated fleet carry the actions out.

--- a/foxtaild/internal/granter/granter.go
+++ b/foxtaild/internal/granter/granter.go
@@ -247,7 +247,8 @@
 				a.ReturnLease(id, lessee, now)
 				continue
 			}
-			shares, leased := a.Lease(id, lessee, now)
+			shares, leased, actions := a.Lease(id, lessee, now)
+			out.Add(actions)
 			reply.Loans = append(reply.Loans, &peerv1.Loan{
 				Lent: leased,
 				Shares: lo.Map(shares, func(s leaser.Share, _ int) *peerv1.Share {
--- a/scheduler/arbiter/fleet_test.go
+++ b/scheduler/arbiter/fleet_test.go
@@ -419,7 +419,8 @@
 				lessor.arbiter.ReturnLease(id, n.host.ID(), f.now)
 				continue
 			}
-			shares, leased := lessor.arbiter.Lease(id, n.host.ID(), f.now)
+			shares, leased, out := lessor.arbiter.Lease(id, n.host.ID(), f.now)
+			f.apply(lessor, out)
 			if leased {
 				f.send(lessor, n, func() {
 					f.apply(n, n.arbiter.RecordLease(id, lessor.host.ID(), shares, sent, f.now))
--- a/scheduler/arbiter/leases.go
+++ b/scheduler/arbiter/leases.go
@@ -13,22 +13,22 @@
 // Lease handles a replica's request to lease this host's share of an upstream.
 // A share of an upstream without load reports is not leased while requests that
 // this host granted run there, since the lessee could not see them.
-func (a *Arbiter) Lease(id scheduler.UpstreamID, lessee scheduler.HostID, now time.Time) (shares []leaser.Share, leased bool) {
+func (a *Arbiter) Lease(id scheduler.UpstreamID, lessee scheduler.HostID, now time.Time) (shares []leaser.Share, leased bool, out Actions) {
 	rep, ok := a.replicas[id]
 	if !ok {
-		return nil, false
+		return nil, false, out
 	}
 	p := a.pool(rep.spec.pool).pool
 	running, _ := p.Running(id, now)
 	if !rep.spec.loadReports && running > 0 {
-		return nil, false
+		return nil, false, out
 	}
 	shares, leased = a.leases.Lease(id, lessee, now)
 	if leased {
-		var out Actions
+		// What remains may have become usable: another held share had expired.
 		a.resizeUpstream(id, now, &out)
 	}
-	return shares, leased
+	return shares, leased, out
 }
 
 // ReturnLease ends a lease early because the lessee returned it.
