--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -301,6 +301,9 @@
 	if !d.listed || d.table.Table() == nil || c.full && c.changes == changes {
 		return s, c, false
 	}
+	if !d.registrar.KnowsRemovedSince(c.entries) {
+		c.full, c.entries = false, 0
+	}
 	s = Snapshot{Full: !c.full, Evacuated: d.registrar.Evacuated(), Era: d.position.Era, Revision: d.position.Revision}
 	if d.document.Version != c.version {
 		doc := d.document
--- a/foxtaild/directory/directory_test.go
+++ b/foxtaild/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"testing"
@@ -146,3 +147,23 @@
 		t.Errorf("position %v after a snapshot of the later era, want %v", got, want)
 	}
 }
+
+// TestFollowerThatMissedManyRemovalsGetsEverything removes more upstreams between two
+// snapshots than removals are kept.
+func TestFollowerThatMissedManyRemovalsGetsEverything(t *testing.T) {
+	from := newDirectory(t, 1, 1, "kept", "removed")
+	to := directory.New(slog.New(slog.DiscardHandler))
+	cursor := transfer(t, from, to, directory.Cursor{})
+	from.Update(registrar.Position{Revision: 2}, func(r *registrar.Registrar) {
+		r.Forget("removed")
+		for i := range 5000 {
+			id := fmt.Sprint("short-lived ", i)
+			r.Put(registrar.Entry{ID: id})
+			r.Forget(id)
+		}
+	})
+	transfer(t, from, to, cursor)
+	if got := ids(to); !slices.Equal(got, []string{"kept"}) {
+		t.Errorf("upstreams %v, want only kept", got)
+	}
+}
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -56,8 +56,10 @@
 	// storeDownAt is the last time at which the store could not be read.
 	storeDownAt time.Time
 	changes     uint64
-	// removed holds the entries that were removed.
-	removed map[string]removal
+	// removed holds the entries that were removed since the value completeSince of
+	// changes.
+	removed       map[string]removal
+	completeSince uint64
 	// left holds the upstreams that were leaving when the store was restored or have
 	// been since, by ID, with the start time of their process. A peer that has not
 	// received that may report them as ready. departed holds those that had been
@@ -140,6 +142,7 @@
 	r.changes++
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
+		r.completeSince = r.changes - 1
 	}
 	r.removed[id] = removal{changed: r.changes, born: old.Born, leaving: old.Leaving}
 }
@@ -147,6 +150,10 @@
 // Changes returns the number of changes of entries so far.
 func (r *Registrar) Changes() uint64 { return r.changes }
 
+// KnowsRemovedSince reports whether Since returns all removals after an earlier value
+// of Changes; only so many are kept.
+func (r *Registrar) KnowsRemovedSince(changes uint64) bool { return changes >= r.completeSince }
+
 // Since returns the entries that changed and the IDs of those that were removed
 // after an earlier value of Changes.
 func (r *Registrar) Since(changes uint64) (changed []Entry, removed []string) {
