coordinator: a rejection does not shorten an ejection

An upstream that was ejected after failed connections was tried again 100 ms after it rejected a request that had been on its way. TestRejectionDoesNotShortenEjection fails before (granted before its 600 ms are over).

--- a/scheduler/coordinator/coordinator_test.go
+++ b/scheduler/coordinator/coordinator_test.go
@@ -383,3 +383,29 @@
 		t.Errorf("%d slots free after a request of the previous process ended, want 6", got)
 	}
 }
+
+// TestRejectionDoesNotShortenEjection rejects a request at an upstream to which a
+// connection has just failed for the second time.
+func TestRejectionDoesNotShortenEjection(t *testing.T) {
+	c := newCoordinator()
+	setEngines(c, 1, nil)
+	for id := range uint64(3) {
+		c.Admit("entry", request(id), start)
+	}
+	c.Advance(start)
+	for id, ending := range []coordinator.Ending{coordinator.ConnectFailed, coordinator.ConnectFailed, coordinator.Rejected} {
+		c.Finish("entry", coordinator.Finish{ID: uint64(id), Ending: ending}, start)
+	}
+	now := start.Add(500 * time.Millisecond)
+	c.Admit("entry", request(10), now)
+	for _, d := range c.Advance(now) {
+		if d.Upstream != "" {
+			t.Error("upstream is granted before its ejection of 600 ms is over")
+		}
+	}
+	now = start.Add(700 * time.Millisecond)
+	c.Admit("entry", request(11), now)
+	if d := c.Advance(now); len(d) == 0 || d[0].Upstream == "" {
+		t.Errorf("upstream is not granted after its ejection: %+v", d)
+	}
+}
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -196,7 +196,9 @@
 	case WrongUpstream:
 		u.unavailable = true
 	case Rejected:
-		u.ejectedUntil = now.Add(minEjection / 3)
+		if until := now.Add(minEjection / 3); until.After(u.ejectedUntil) {
+			u.ejectedUntil = until
+		}
 	}
 	if f.ColdFor > 0 {
 		u.coldUntil = now.Add(f.ColdFor)
