forwarder: failing tests of upstreams that fall silent and go on

Callers saw streams that were broken off, and calls that ended with a needless 504, although their upstream was sound and went on after a second or so.

The tests have an upstream fall silent and go on once the forwarder has asked for another one, which does not take the request over: no capacity, rejected, failed, lost, unreached, left.

--- a/foxtaild/forwarder/forwarder_test.go
+++ b/foxtaild/forwarder/forwarder_test.go
@@ -297,7 +297,14 @@
 		})
 		admitter.grants = append(admitter.grants, id)
 	}
-	return &fixture{Forwarder: forwarder.New(admitter, testCodec{}, connector.New(), dir, log), admitter: admitter, directory: dir}
+	s := &fixture{admitter: admitter, directory: dir}
+	s.Forwarder = s.withAdmitter(admitter)
+	return s
+}
+
+// withAdmitter returns a forwarder with the fixture's directory.
+func (s *fixture) withAdmitter(a forwarder.Admitter) *forwarder.Forwarder {
+	return forwarder.New(a, testCodec{}, connector.New(), s.directory, slog.New(slog.DiscardHandler))
 }
 
 // serve forwards one request.
