forwarder, connector: keep a silent upstream's request until another one has accepted it

What callers saw: a stream that may resume was broken off, and a call that may be repeated ended with a 504, although their upstream was sound and went on after a second or so.

Cause: silence was taken for a loss. After four times the route's pause (1 s on the deployments), or twice the objective before the first byte, the forwarder closed the connection and only then asked for another upstream. If that was refused, rejected, lost or unreached, there was nothing left to go on with. Class of fault: a resource was given up before its replacement was secured.

Evidence: TestSilentUpstreamKeepsItsRequest (11 cases) and TestSilentUpstreamGoesOnDuringAdmission failed on the code before; the four cases in which another upstream takes over passed before and after.

Change: connector.Conn.Watch calls a watcher when no byte has arrived for a time, below all parsers, so that a read goes on afterwards as if nothing had happened. The forwarder's watcher then requests a grant in the background. If the upstream speaks first, the request is withdrawn and a late grant returned. If there is a grant, the request is sent to the other upstream; the first connection is closed once that one has begun to respond with success or has not rejected the request within 150 ms, so both work on it for less than the 400 ms that the platform allows. In all other cases the first upstream keeps the request, and the search is repeated every 300 ms.

--- a/foxtaild/connector/connector.go
+++ b/foxtaild/connector/connector.go
@@ -48,6 +48,7 @@
 	net.Conn
 	br      *bufio.Reader
 	limiter *readLimiter
+	watched *watchedReader
 	// key identifies the upstream and its address.
 	key         string
 	idleTimeout time.Duration
@@ -153,8 +154,12 @@
 		return nil, eris.Wrapf(err, "connect to upstream at %s", address)
 	}
 	c.made.Add(1)
-	limiter := &readLimiter{r: raw, left: -1}
-	return &Conn{Conn: raw, br: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, key: key, idleTimeout: defaultIdleTimeout}, nil
+	watched := &watchedReader{Conn: raw}
+	limiter := &readLimiter{r: watched, left: -1}
+	return &Conn{
+		Conn: raw, br: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, watched: watched,
+		key: key, idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // takeIdle returns an idle connection that is still usable, or nil. It closes the
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -38,18 +38,6 @@
 	// before the response is read. Larger requests are written concurrently, as
 	// the upstream may respond before it has read everything.
 	maxInlineWriteBytes = 4 << 10
-	// The timeout for the first byte of a response, where the request can be
-	// tried at another upstream, is firstByteFactor times the route's latency
-	// objective, at least minFirstByteTimeout, plus prefillTimePerToken for
-	// each prompt token.
-	firstByteFactor     = 2
-	minFirstByteTimeout = 500 * time.Millisecond
-	prefillTimePerToken = 80 * time.Microsecond
-	// The timeout for the next event of a stream, where the stream can resume
-	// at another upstream, is eventTimeoutFactor times the route's MaxPause, at
-	// least minEventTimeout.
-	eventTimeoutFactor = 4
-	minEventTimeout    = 800 * time.Millisecond
 )
 
 // errInvalidResponse is the error of a response that is not authentic, encoded,
@@ -63,53 +51,79 @@
 	// whether the request ends without another attempt.
 	delivered, final bool
 	status           int
+	// successor is the attempt that has taken the request over, if any.
+	successor *attempt
 }
 
 // attempt is the exchange of a request with one upstream.
 type attempt struct {
 	*handler
 	grant Grant
+	span  trace.Span
 	// upstream is the entry of the upstream that the request was sent to.
 	upstream registrar.Entry
 	conn     *connector.Conn
-	start    time.Time
-	finish   coordinator.Finish
+	// release keeps the end of the request's context from closing the connection. It
+	// returns false if that has happened.
+	release func() bool
+	start   time.Time
+	finish  coordinator.Finish
 	// written receives the result of a request write that runs while the
 	// response is read; nil if there is no such write.
 	written chan error
+	// hadRun is handler.mayHaveRun before this attempt.
+	hadRun bool
+	// response and info are the head of the response once it has been read.
+	response *http.Response
+	info     ResponseInfo
+	// phase is the part of the response that is awaited.
+	phase phase
+	// successor is the attempt that has taken the request over, if any.
+	successor *attempt
 }
 
-// attempt sends the request to the upstream of a grant and relays the response.
-func (h *handler) attempt(ctx context.Context, g Grant) (res attemptResult) {
+// newAttempt returns an attempt at the upstream of a grant, and its context. The
+// attempt must be ended.
+func (h *handler) newAttempt(ctx context.Context, g Grant) (*attempt, context.Context) {
 	ctx, span := h.tracer.Start(ctx, "upstream", trace.WithAttributes(attribute.String("upstream", g.Upstream)))
-	defer span.End()
-	a := &attempt{handler: h, grant: g, start: time.Now()}
-	defer func() {
-		a.finish.Ending = res.ending
-		a.finish.Total = time.Since(a.start)
-		g.ReportFinish(a.finish)
-		a.recordRun(res)
-	}()
-	id := g.Upstream
-	entry, ok := h.directory.Usable(id, time.Now())
-	if !ok {
-		return a.endUnused("upstreamLeft")
-	}
-	conn, err := h.connector.Get(ctx, id, entry.Address)
-	if err != nil {
-		return a.endUnreached(ctx, err)
-	}
-	a.conn = conn
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	res = a.exchange(ctx)
-	if stop() && res.delivered && a.reusable() {
-		h.connector.Put(conn)
-	} else {
-		_ = conn.Close()
+	h.owner = g.Owner
+	return &attempt{handler: h, grant: g, span: span, start: time.Now(), release: func() bool { return true }}, ctx
+}
+
+// attempt sends the request to the upstream of a grant and relays the response.
+func (h *handler) attempt(ctx context.Context, g Grant) attemptResult {
+	a, ctx := h.newAttempt(ctx, g)
+	if res, ok := a.send(ctx); !ok {
+		a.end(res)
+		return res
 	}
+	return a.complete(ctx)
+}
+
+// complete relays the response to a request that has been sent and ends the attempt.
+func (a *attempt) complete(ctx context.Context) attemptResult {
+	res := a.receive(ctx)
+	a.end(res)
 	return res
 }
 
+// end reports how the attempt has ended and keeps the connection if it is reusable.
+func (a *attempt) end(res attemptResult) {
+	defer a.span.End()
+	released := a.release()
+	switch {
+	case a.conn == nil:
+	case released && res.delivered && a.reusable():
+		a.connector.Put(a.conn)
+	default:
+		_ = a.conn.Close()
+	}
+	a.finish.Ending = res.ending
+	a.finish.Total = time.Since(a.start)
+	a.grant.ReportFinish(a.finish)
+	a.recordRun(res)
+}
+
 // recordRun reports to the quarantine how a run ended at the upstream. An error of
 // the upstream's own is not reported: it may precede the run.
 func (a *attempt) recordRun(res attemptResult) {
@@ -125,12 +139,9 @@
 	}
 }
 
-// reusable reports whether the connection can carry another request: it is open
-// and the request has been written completely.
+// reusable reports whether the connection can carry another request: the request has
+// been written completely.
 func (a *attempt) reusable() bool {
-	if a.conn == nil {
-		return false
-	}
 	if a.written == nil {
 		return true
 	}
@@ -160,53 +171,78 @@
 	return attemptResult{ending: coordinator.ConnectFailed}
 }
 
-// exchange sends the request and relays the response.
-func (a *attempt) exchange(ctx context.Context) attemptResult {
+// send connects to the upstream and sends the request. It returns false if the
+// attempt ends with a result.
+func (a *attempt) send(ctx context.Context) (res attemptResult, ok bool) {
+	entry, ok := a.directory.Usable(a.grant.Upstream, time.Now())
+	if !ok {
+		return a.endUnused("upstreamLeft"), false
+	}
+	conn, err := a.connector.Get(ctx, a.grant.Upstream, entry.Address)
+	if err != nil {
+		return a.endUnreached(ctx, err), false
+	}
+	a.conn = conn
+	a.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	now := time.Now()
 	left := time.Until(a.r.Deadline)
 	if now.After(a.grant.Expires) {
-		return a.endUnused("grantExpired")
+		return a.endUnused("grantExpired"), false
 	}
 	if left < minTimeLeft {
 		a.setContextRefusal(ctx)
-		return attemptResult{ending: coordinator.Unused, final: true}
+		return attemptResult{ending: coordinator.Unused, final: true}, false
 	}
-	entry, ok := a.directory.Usable(a.grant.Upstream, now)
+	entry, ok = a.directory.Usable(a.grant.Upstream, now)
 	if !ok || ctx.Err() != nil {
-		return a.endUnused("upstreamLeft")
+		return a.endUnused("upstreamLeft"), false
 	}
 	if a.quarantine.Refuses(a.r.Digest) {
 		a.refuseQuarantined()
-		return attemptResult{ending: coordinator.Unused, final: true}
+		return attemptResult{ending: coordinator.Unused, final: true}, false
 	}
 	_ = a.conn.SetDeadline(a.r.Deadline)
 	head := a.codec.Encode(make([]byte, 0, headBufferBytes), a.r, Dispatch{Upstream: entry, Remaining: left, LastEventID: a.lastEventID, Trace: traceContext(ctx)})
 	a.tried = append(a.tried, a.grant.Upstream)
 	a.dispatched++
-	before := a.mayHaveRun
-	a.mayHaveRun = true
+	a.hadRun, a.mayHaveRun = a.mayHaveRun, true
 	a.start, a.upstream = now, entry
 	if err := a.writeRequest(head); err != nil {
-		return a.endLost(ctx, err)
+		return a.endLost(ctx, err), false
 	}
-	resp, info, err := a.readResponseHead()
-	if err != nil {
-		return a.endLost(ctx, err)
+	return res, true
+}
+
+// receive relays the response to a request that has been sent.
+func (a *attempt) receive(ctx context.Context) attemptResult {
+	defer a.watch(ctx)()
+	if a.response == nil {
+		if err := a.readResponseHead(); err != nil {
+			return a.endLost(ctx, err)
+		}
 	}
-	a.finish.ColdFor = info.ColdFor
-	if info.NotRun || info.WrongUpstream {
-		a.mayHaveRun = before
-		return a.endRejected(info)
+	resp := a.response
+	a.finish.ColdFor = a.info.ColdFor
+	if a.info.NotRun || a.info.WrongUpstream {
+		return a.endRejected()
 	}
-	if resp.StatusCode/100 == 2 && (!info.Authentic || resp.Header.Get("Content-Encoding") != "") {
+	if !a.valid() {
 		return a.endLost(ctx, errInvalidResponse)
 	}
 	a.responseStarted = true
 	a.setIdleTimeout(resp.Header)
 	if a.r.Route.Kind == router.Streaming && resp.StatusCode/100 == 2 {
+		a.phase = awaitingEvent
 		return a.relayStream(ctx, resp)
 	}
-	return a.relayWhole(ctx, resp, info)
+	a.phase = awaitingBody
+	return a.relayWhole(ctx, resp, a.info)
+}
+
+// valid reports whether the head of a successful response is authentic and its body
+// not encoded.
+func (a *attempt) valid() bool {
+	return a.response.StatusCode/100 != 2 || a.info.Authentic && a.response.Header.Get("Content-Encoding") == ""
 }
 
 // traceContext returns the W3C traceparent of the current span, empty if it
@@ -236,38 +272,29 @@
 	return nil
 }
 
-// firstByteTimeout returns how long to wait for the first byte of the response.
-func (a *attempt) firstByteTimeout() time.Duration {
-	if !a.r.Route.Retryable() || a.dispatched >= a.r.Route.Attempts {
-		return time.Until(a.r.Deadline)
-	}
-	d := max(firstByteFactor*a.r.Route.Objective, minFirstByteTimeout) + time.Duration(a.r.Prompt)*prefillTimePerToken
-	return min(d, time.Until(a.r.Deadline))
-}
-
 // readResponseHead reads the head of the response. It skips interim responses and
 // responses to other requests.
-func (a *attempt) readResponseHead() (resp *http.Response, info ResponseInfo, err error) {
-	_ = a.conn.SetReadDeadline(time.Now().Add(a.firstByteTimeout()))
+func (a *attempt) readResponseHead() error {
 	for range maxStrayResponses + 1 {
 		a.conn.SetReadLimit(maxResponseHeadBytes)
-		resp, err = http.ReadResponse(a.conn.Reader(), &http.Request{Method: a.r.Method})
+		resp, err := http.ReadResponse(a.conn.Reader(), &http.Request{Method: a.r.Method})
 		if err != nil {
-			return nil, info, err
+			return err
 		}
 		a.conn.SetReadLimit(-1)
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		info = a.codec.Decode(a.r, resp.StatusCode, resp.Header)
+		info := a.codec.Decode(a.r, resp.StatusCode, resp.Header)
 		if info.MatchesRequest || info.NotRun || info.WrongUpstream {
-			return resp, info, nil
+			a.response, a.info = resp, info
+			return nil
 		}
 		if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, int64(a.maxResponseBytes))); err != nil {
-			return nil, info, err
+			return err
 		}
 	}
-	return nil, info, errInvalidResponse
+	return errInvalidResponse
 }
 
 // setIdleTimeout sets the connection's idle timeout from the upstream's
@@ -283,17 +310,22 @@
 }
 
 // endRejected ends an attempt whose request the upstream has not run.
-func (a *attempt) endRejected(info ResponseInfo) attemptResult {
+func (a *attempt) endRejected() attemptResult {
+	a.mayHaveRun = a.hadRun
 	a.refuse(Refusal{Outcome: NotRun, Reason: "upstreamRejected", RetryAfter: defaultRetryAfter})
-	if info.WrongUpstream {
+	if a.info.WrongUpstream {
 		return attemptResult{ending: coordinator.WrongUpstream}
 	}
 	return attemptResult{ending: coordinator.Rejected}
 }
 
 // endLost ends an attempt whose request may have run and whose response was
-// lost.
+// lost, or that another one has taken over.
 func (a *attempt) endLost(ctx context.Context, err error) attemptResult {
+	if a.successor != nil {
+		a.log.Info("request taken over", "id", a.r.ID, "from", a.grant.Upstream, "to", a.successor.grant.Upstream, "after", a.lastEventID)
+		return attemptResult{ending: coordinator.TimedOut, successor: a.successor}
+	}
 	if ctx.Err() != nil || !time.Now().Before(a.r.Deadline) {
 		a.setContextRefusal(ctx)
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -314,7 +346,6 @@
 // relayWhole reads a whole response and relays it. It keeps a 5xx response
 // instead, as the request may be tried at another upstream.
 func (a *attempt) relayWhole(ctx context.Context, resp *http.Response, info ResponseInfo) attemptResult {
-	_ = a.conn.SetReadDeadline(a.r.Deadline)
 	body, err := a.readBody(resp.Body)
 	if err != nil {
 		return a.endLost(ctx, err)
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -10,6 +10,9 @@
 //     route allows a request to run twice;
 //   - a broken stream resumes at another upstream, after the last event that
 //     was relayed whole, where the route marks its streams as resumable;
+//   - if an upstream falls silent, another one takes the request over where it may be
+//     tried again, but only once that one has accepted it: until then the first
+//     may still go on;
 //   - in all other cases the request is refused immediately, and the refusal says
 //     whether it may have run.
 package forwarder
@@ -19,6 +22,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +33,6 @@
 	"foxtaillug.org/contract"
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/scheduler/coordinator"
-	"foxtaillug.org/scheduler/router"
 )
 
 const (
@@ -252,6 +255,10 @@
 			return h.giveUp()
 		}
 		res := h.attempt(ctx, g)
+		for res.successor != nil {
+			h.endings = append(h.endings, res.ending.String())
+			res = res.successor.complete(ctx)
+		}
 		h.endings = append(h.endings, res.ending.String())
 		switch {
 		case res.delivered:
@@ -285,12 +292,7 @@
 	ctx, span := h.tracer.Start(ctx, "grantWait")
 	defer span.End()
 	start := time.Now()
-	g, err := h.admitter.Admit(ctx, coordinator.Request{
-		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
-		Age: r.Age + start.Sub(r.Arrived), Objective: r.Route.Objective, Left: time.Until(r.Deadline), Waited: h.waited,
-		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output,
-		Repeat: h.dispatched > 0, Exclude: h.tried, Regions: r.Regions, Digest: r.Digest, Prefix: r.Prefix,
-	})
+	g, err := h.admitter.Admit(ctx, h.admission(start))
 	h.waited += time.Since(start)
 	if err != nil {
 		h.setContextRefusal(ctx)
@@ -304,6 +306,17 @@
 	return g, false
 }
 
+// admission returns the admission request for another upstream than those tried.
+func (h *handler) admission(now time.Time) coordinator.Request {
+	r := h.r
+	return coordinator.Request{
+		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
+		Age: r.Age + now.Sub(r.Arrived), Objective: r.Route.Objective, Left: r.Deadline.Sub(now), Waited: h.waited,
+		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output,
+		Repeat: h.dispatched > 0, Exclude: slices.Clone(h.tried), Regions: r.Regions, Digest: r.Digest, Prefix: r.Prefix,
+	}
+}
+
 // refuse sets the refusal of a request that is not run now, unless an earlier
 // attempt may have run it.
 func (h *handler) refuse(r Refusal) {
@@ -360,9 +373,3 @@
 	}
 	return Result{Status: resp.status, Complete: err == nil}
 }
-
-// resumable reports whether the request's stream may resume at another
-// upstream.
-func (h *handler) resumable() bool {
-	return h.r.Route.Kind == router.Streaming && h.r.Route.Resumable
-}
--- a/foxtaild/forwarder/stall_test.go
+++ b/foxtaild/forwarder/stall_test.go
@@ -111,7 +111,7 @@
 			resumable, streamHead + events(0, 0) + chunk("id: 1\nda"), chunk("ta: e1\n\n") + "0\r\n\r\n", refuse, "", "200 " + relayedEvents(0, 1), 1,
 		},
 		"stream, silent inside a chunk": {
-			resumable, streamHead + events(0, 0) + "e\r\nid: 1\nda", "ta: e1\n\n\r\n0\r\n\r\n", refuse, "", "200 " + relayedEvents(0, 1), 1,
+			resumable, streamHead + events(0, 0) + "10\r\nid: 1\nda", "ta: e1\n\n\r\n0\r\n\r\n", refuse, "", "200 " + relayedEvents(0, 1), 1,
 		},
 		"stream, rejected elsewhere": {
 			resumable, streamHead + events(0, 2), events(3, 5) + "0\r\n\r\n", grantSecond, response(503, notRunHeader+": 1\r\n", "busy"), "200 " + relayedEvents(0, 5), 2,
--- a/foxtaild/forwarder/stream.go
+++ b/foxtaild/forwarder/stream.go
@@ -67,22 +67,15 @@
 	}
 }
 
-// eventTimeout returns how long to wait for the next event.
-func (a *attempt) eventTimeout() time.Duration {
-	if !a.resumable() || a.dispatched >= a.r.Route.Attempts {
-		return time.Until(a.r.Deadline)
-	}
-	return min(max(eventTimeoutFactor*a.r.Route.MaxPause, minEventTimeout), time.Until(a.r.Deadline))
-}
-
 // relayStream relays events as they arrive.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) attemptResult {
 	var first, last time.Time
 	events := 0
-	terminated := false
 	err := a.readEvents(resp.Body, func(e event) error {
+		if e.isTerminator {
+			a.phase = awaitingEnd
+		}
 		if e.isTerminator || !e.hasData {
-			terminated = terminated || e.isTerminator
 			return a.relayEvent(resp, e)
 		}
 		now := time.Now()
@@ -105,7 +98,7 @@
 		a.finish.Tokens = (events - 1) * a.directory.Stride(a.r.Pool)
 	}
 	switch {
-	case terminated:
+	case a.phase == awaitingEnd:
 		if err != nil || resp.Close {
 			a.closeConn()
 		}
@@ -155,7 +148,6 @@
 func (a *attempt) readEvents(body io.Reader, handle func(event) error) error {
 	buf := make([]byte, 0, streamBufferBytes)
 	for {
-		_ = a.conn.SetReadDeadline(time.Now().Add(a.eventTimeout()))
 		if cap(buf)-len(buf) < streamBufferBytes/2 {
 			grown, err := a.growBuffer(buf, streamBufferBytes)
 			if err != nil {
