acceptor: a request that has begun is not closed as idle

Callers whose request crossed the end of the idle timeout got a closed connection without a response, also where the request had been read whole and was passed on.

A read could return a request after the decision, and the server then served it on a closed connection. A byte that net/http had read ahead during the previous request was forgotten at the change to idle.

Under the connection's mutex, bytes that a read has obtained, or a header that the server has read, take the mark away; a read that obtained nothing fails and closes the connection, on which nothing is then in progress.

Ruled out: leaving the close to the server. net/http takes a partial line before a failed read for a whole one and answered slow headers with 400 in a trial.

Evidence: of the four cases of TestRequestThatHasBegunIsNotClosedAsIdle three failed before ("no response after the handler received 2 requests" where the request had been read with the previous one). "After a part was read" and TestExpiredConnectionReturnsNoByte passed before and guard the change. The package's tests pass 20 times with -race.

--- a/foxtaild/acceptor/acceptor.go
+++ b/foxtaild/acceptor/acceptor.go
@@ -10,8 +10,8 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"foxtaillug.org/foxtaild/reporter"
@@ -40,41 +40,134 @@
 // conn is a caller's connection.
 type conn struct {
 	net.Conn
+
+	mu sync.Mutex
 	// waiting reports whether no request is being served on the connection.
-	waiting atomic.Bool
+	waiting bool
+	// expired reports whether the connection has exceeded a limit. It is reset if
+	// a request that has been read proves to have begun before.
+	expired bool
+	// readAhead reports whether the server has read a byte of the next request
+	// while it was still serving the previous one.
+	readAhead bool
 	// since is when the connection began to wait, and headerSince is when the
 	// first byte of the next header arrived, or 0 before that. Both are Unix
 	// times in nanoseconds.
-	since, headerSince atomic.Int64
+	since, headerSince int64
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
 }
 
 // Read reads from the connection and records when the first byte of a header
-// arrives. If the start of a header arrived together with the previous request,
-// the connection counts as idle until more of the header arrives.
+// arrives. It returns no byte once the connection has expired. If a part of a
+// header arrived together with the previous request's last bytes, the connection
+// counts as idle until more of the header arrives.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && c.waiting.Load() && c.headerSince.Load() == 0 {
-		c.headerSince.Store(time.Now().UnixNano())
+	if !c.hasExpired() {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.recordRead(len(b))
+		}
+		if n > 0 || !c.hasExpired() {
+			return n, err
+		}
+	}
+	// If a read fails, net/http treats a partial line as a complete one and may
+	// respond with 400.
+	_ = c.Conn.Close()
+	return 0, os.ErrDeadlineExceeded
+}
+
+// hasExpired reports whether the connection has exceeded a limit.
+func (c *conn) hasExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired
+}
+
+// recordRead records that bytes have been read into a buffer of the given size.
+// They may have been read while the connection was found idle for too long; then
+// the connection is kept.
+func (c *conn) recordRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.waiting:
+		// While a handler runs, net/http reads one byte ahead to detect that the
+		// caller has disconnected. It reads bodies into larger buffers.
+		c.readAhead = size == 1
+	case c.headerSince == 0:
+		c.headerSince = time.Now().UnixNano()
+		c.keep()
+	}
+}
+
+// SetReadDeadline sets the read deadline. The deadline of an expired connection
+// stays in the past.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// expire makes reads fail from now on. The caller must hold the mutex.
+func (c *conn) expire() {
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(time.Unix(0, 0))
+}
+
+// keep makes reads possible again. The caller must hold the mutex.
+func (c *conn) keep() {
+	if c.expired {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
-	return n, err
 }
 
 // setWaiting records that the connection waits for a request from now on.
 func (c *conn) setWaiting() {
-	c.headerSince.Store(0)
-	c.since.Store(time.Now().UnixNano())
-	c.waiting.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.since, c.headerSince = true, time.Now().UnixNano(), 0
+	if c.readAhead {
+		c.readAhead, c.headerSince = false, c.since
+	}
+}
+
+// setServing records that the server has read a request's header. A connection
+// that expired after the header had been read is kept.
+func (c *conn) setServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	c.keep()
+}
+
+// isWaiting reports whether no request is being served on the connection.
+func (c *conn) isWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
 }
 
-// expired reports whether the connection has waited beyond the limits.
-func (c *conn) expired(l Limits, now time.Time) bool {
-	if !c.waiting.Load() {
-		return false
+// sweep makes reads fail if the connection has waited beyond the limits.
+func (c *conn) sweep(l Limits, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting {
+		return
+	}
+	since, limit := c.since, l.IdleTimeout
+	if c.headerSince > 0 {
+		since, limit = c.headerSince, l.HeaderTimeout
 	}
-	if header := c.headerSince.Load(); header > 0 {
-		return now.UnixNano()-header > int64(l.HeaderTimeout)
+	if now.UnixNano()-since > int64(limit) {
+		c.expire()
 	}
-	return now.UnixNano()-c.since.Load() > int64(l.IdleTimeout)
 }
 
 // listener accepts tracked connections.
@@ -108,7 +201,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.waiting.Store(false)
+		c.setServing()
 	case http.StateIdle:
 		c.setWaiting()
 	case http.StateClosed, http.StateHijacked:
@@ -118,16 +211,15 @@
 	}
 }
 
-// Sweep closes the connections that have exceeded a limit.
+// Sweep ends the connections that have exceeded a limit: their reads fail and
+// close them. A request whose header the server has read in the meantime is still
+// served.
 func (a *Acceptor) Sweep(now time.Time) {
 	l := a.limits()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		if c.expired(l, now) {
-			_ = c.Close()
-			delete(a.conns, c)
-		}
+		c.sweep(l, now)
 	}
 }
 
@@ -136,7 +228,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		if c.waiting.Load() {
+		if c.isWaiting() {
 			n++
 		}
 	}
--- /dev/null
+++ b/foxtaild/acceptor/sweep_test.go
@@ -0,0 +1,232 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"foxtaillug.org/foxtaild/acceptor"
+)
+
+const (
+	firstRequest  = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+	secondRequest = "GET /second HTTP/1.1\r\nHost: h\r\n\r\n"
+	// readsBound exceeds the number of reads of a test's connection.
+	readsBound = 64
+)
+
+// gate reports and holds the reads of the connections of a listener.
+type gate struct {
+	net.Listener
+	// entered receives a value when a read begins, and arrived the number of
+	// bytes of a read, which returns after a value has been sent to release.
+	entered, release chan struct{}
+	arrived          chan int
+}
+
+func newGate(l net.Listener) *gate {
+	return &gate{Listener: l, entered: make(chan struct{}, readsBound), release: make(chan struct{}, readsBound), arrived: make(chan int, readsBound)}
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	c, err := g.Listener.Accept()
+	return gatedConn{c, g}, err
+}
+
+// gatedConn is a connection of a gate.
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c gatedConn) Read(b []byte) (int, error) {
+	c.gate.entered <- struct{}{}
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.gate.arrived <- n
+		<-c.gate.release
+	}
+	return n, err
+}
+
+// server is an http.Server behind an acceptor and a gate, with a caller's connection.
+type server struct {
+	*http.Server
+	gate     *gate
+	acceptor *acceptor.Acceptor
+	caller   net.Conn
+	reader   *bufio.Reader
+	// served counts the requests that the handler has received.
+	served atomic.Int32
+	// handle is called by the handler if it is not nil.
+	handle func()
+}
+
+// newServer starts a server. onState is called after Track if it is not nil.
+func newServer(t *testing.T, limits acceptor.Limits, onState func(*server, http.ConnState)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{gate: newGate(l), acceptor: acceptor.New(func() acceptor.Limits { return limits })}
+	s.Server = &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			s.served.Add(1)
+			if s.handle != nil {
+				s.handle()
+			}
+		}),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			s.acceptor.Track(c, state)
+			if onState != nil {
+				onState(s, state)
+			}
+		},
+	}
+	go func() { _ = s.Serve(s.acceptor.Wrap(s.gate)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	if s.caller, err = net.Dial("tcp4", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.caller.Close() })
+	if err := s.caller.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	s.reader = bufio.NewReader(s.caller)
+	return s
+}
+
+// send sends text to the server.
+func (s *server) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(s.caller, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive returns the next response's status.
+func (s *server) receive(t *testing.T) int {
+	t.Helper()
+	resp, err := http.ReadResponse(s.reader, nil)
+	if err != nil {
+		t.Fatalf("no response after the handler received %d requests: %v", s.served.Load(), err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// wait waits for a value from c.
+func wait[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(testTimeout):
+		t.Fatal("timeout")
+	}
+	return v
+}
+
+// TestRequestThatHasBegunIsNotClosedAsIdle sweeps a connection after its idle
+// timeout at different moments of the start of a request.
+func TestRequestThatHasBegunIsNotClosedAsIdle(t *testing.T) {
+	limits := acceptor.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: time.Hour}
+	sweep := func(s *server) { s.acceptor.Sweep(time.Now().Add(2 * limits.IdleTimeout)) }
+	sweepWhenIdle := func(s *server, state http.ConnState) {
+		if state == http.StateIdle {
+			sweep(s)
+		}
+	}
+	tests := map[string]struct {
+		onState func(*server, http.ConnState)
+		play    func(*testing.T, *server)
+		// responses is the number of responses that the caller must receive.
+		responses int
+	}{
+		"before the read returns": {nil, func(t *testing.T, s *server) {
+			s.send(t, firstRequest)
+			wait(t, s.gate.arrived)
+			sweep(s)
+			s.gate.release <- struct{}{}
+		}, 1},
+		"after a part was read": {nil, func(t *testing.T, s *server) {
+			s.send(t, firstRequest[:10])
+			wait(t, s.gate.arrived)
+			s.gate.release <- struct{}{}
+			wait(t, s.gate.entered)
+			wait(t, s.gate.entered)
+			sweep(s)
+			s.gate.release <- struct{}{}
+			s.send(t, firstRequest[10:])
+		}, 1},
+		"after a byte was read during the previous request": {sweepWhenIdle, func(t *testing.T, s *server) {
+			handling, handled := make(chan struct{}, 1), make(chan struct{})
+			s.handle = func() {
+				handling <- struct{}{}
+				<-handled
+			}
+			s.send(t, firstRequest)
+			s.gate.release <- struct{}{}
+			wait(t, s.gate.arrived)
+			wait(t, handling)
+			s.send(t, secondRequest)
+			if n := wait(t, s.gate.arrived); n != 1 {
+				t.Fatalf("%d bytes read ahead, want 1", n)
+			}
+			s.gate.release <- struct{}{}
+			close(handled)
+			s.gate.release <- struct{}{}
+		}, 2},
+		"after it was read with the previous request": {sweepWhenIdle, func(t *testing.T, s *server) {
+			s.gate.release <- struct{}{}
+			s.send(t, firstRequest+secondRequest)
+		}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, limits, tt.onState)
+			tt.play(t, s)
+			for range tt.responses {
+				if status := s.receive(t); status != http.StatusOK {
+					t.Errorf("status %d, want 200", status)
+				}
+			}
+		})
+	}
+}
+
+func TestExpiredConnectionReturnsNoByte(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	a := acceptor.New(func() acceptor.Limits { return acceptor.Limits{IdleTimeout: time.Second, HeaderTimeout: time.Second} })
+	caller, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	c, err := a.Wrap(l).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	a.Sweep(time.Now().Add(time.Minute))
+	if _, err := io.WriteString(caller, firstRequest); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		// The server removes a deadline before it reads the next request.
+		_ = c.SetReadDeadline(time.Time{})
+		if n, err := c.Read(make([]byte, 1)); n > 0 || err == nil {
+			t.Errorf("read %d bytes with error %v, want none and an error", n, err)
+		}
+	}
+}
