acceptor: measure timeouts by the monotonic clock

After a step of the time of day forward, callers' connections were closed as idle, or as too slow with a header, although they were in use; after a step backward, idle ones stayed open for as long as the step.

Cause: the times were kept as Unix nanoseconds.

--- a/foxtaild/acceptor/acceptor.go
+++ b/foxtaild/acceptor/acceptor.go
@@ -51,9 +51,9 @@
 	// while it was still serving the previous one.
 	readAhead bool
 	// since is when the connection began to wait, and headerSince is when the
-	// first byte of the next header arrived, or 0 before that. Both are Unix
-	// times in nanoseconds.
-	since, headerSince int64
+	// first byte of the next header arrived, or zero before that. Both have a
+	// monotonic clock reading, which steps of the wall clock don't affect.
+	since, headerSince time.Time
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
 }
@@ -96,8 +96,8 @@
 		// While a handler runs, net/http reads one byte ahead to detect that the
 		// caller has disconnected. It reads bodies into larger buffers.
 		c.readAhead = size == 1
-	case c.headerSince == 0:
-		c.headerSince = time.Now().UnixNano()
+	case c.headerSince.IsZero():
+		c.headerSince = time.Now()
 		c.keep()
 	}
 }
@@ -132,7 +132,7 @@
 func (c *conn) setWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.since, c.headerSince = true, time.Now().UnixNano(), 0
+	c.waiting, c.since, c.headerSince = true, time.Now(), time.Time{}
 	if c.readAhead {
 		c.readAhead, c.headerSince = false, c.since
 	}
@@ -162,10 +162,10 @@
 		return
 	}
 	since, limit := c.since, l.IdleTimeout
-	if c.headerSince > 0 {
+	if !c.headerSince.IsZero() {
 		since, limit = c.headerSince, l.HeaderTimeout
 	}
-	if now.UnixNano()-since > int64(limit) {
+	if now.Sub(since) > limit {
 		c.expire()
 	}
 }
@@ -213,7 +213,7 @@
 
 // Sweep ends the connections that have exceeded a limit: their reads fail and
 // close them. A request whose header the server has read in the meantime is still
-// served.
+// served. now must have a monotonic clock reading.
 func (a *Acceptor) Sweep(now time.Time) {
 	l := a.limits()
 	a.mu.Lock()
