acceptor: respond with 408 to a header that takes too long

A caller that was still sending a header when the header timeout passed, for example because a new configuration had lowered it, got a closed connection. It could not know that its request had not run.

Cause: the connection was closed without a response. The read that fails now writes 408 with Connection: close first, if a part of a header has been read. The connection is then closed for writing and read for the rest of these 0.5 s: closing it with unread bytes would reset it, and the caller could lose the response. Reads fail from then on, so the request can't run.

Not covered: a part of a header that arrived in the same read as the end of the request before it, which the acceptor can't tell from that request.

--- a/foxtaild/acceptor/acceptor.go
+++ b/foxtaild/acceptor/acceptor.go
@@ -1,13 +1,15 @@
 // Package acceptor enforces timeouts on callers' connections between requests:
-// it closes connections that are idle for too long or that take too long to send
-// a request's header. Both limits may change while connections are open, which
-// the timeouts of http.Server can't.
+// it closes connections that are idle for too long, and responds with 408 to those
+// that take too long to send a request's header. Both limits may change while
+// connections are open, which the timeouts of http.Server can't.
 //
 // A server sets ConnState to Track, serves the listener that Wrap returns, and
 // calls Sweep periodically.
 package acceptor
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +19,14 @@
 	"foxtaillug.org/foxtaild/reporter"
 )
 
+// rejection is the response to a header that has exceeded its timeout. Its status
+// promises that the request has not run and never will.
+const rejection = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// rejectionTimeout bounds the time to write a rejection and to wait until its
+// caller closes the connection. It equals net/http's delay for the same purpose.
+const rejectionTimeout = 500 * time.Millisecond
+
 // Limits are the timeouts of connections that wait for a request.
 type Limits struct {
 	// IdleTimeout is how long a connection may be idle between requests,
@@ -47,6 +57,8 @@
 	// expired reports whether the connection has exceeded a limit. It is reset if
 	// a request that has been read proves to have begun before.
 	expired bool
+	// ended reports whether a read has failed because the connection has expired.
+	ended bool
 	// readAhead reports whether the server has read a byte of the next request
 	// while it was still serving the previous one.
 	readAhead bool
@@ -72,10 +84,40 @@
 			return n, err
 		}
 	}
+	c.end()
+	return 0, os.ErrDeadlineExceeded
+}
+
+// end closes the connection. If a part of a header has been read, it responds with
+// a rejection first.
+func (c *conn) end() {
+	c.mu.Lock()
+	reject := !c.ended && !c.headerSince.IsZero()
+	c.ended = true
+	c.mu.Unlock()
+	if reject {
+		c.reject()
+	}
 	// If a read fails, net/http treats a partial line as a complete one and may
 	// respond with 400.
 	_ = c.Conn.Close()
-	return 0, os.ErrDeadlineExceeded
+}
+
+// reject responds with a rejection and reads on until the caller closes the
+// connection. If it were closed with unread bytes, it would be reset, and the
+// caller could lose the response.
+func (c *conn) reject() {
+	until := time.Now().Add(rejectionTimeout)
+	if err := errors.Join(c.SetWriteDeadline(until), c.Conn.SetReadDeadline(until)); err != nil {
+		return
+	}
+	if _, err := io.WriteString(c.Conn, rejection); err != nil {
+		return
+	}
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // hasExpired reports whether the connection has exceeded a limit.
@@ -122,7 +164,7 @@
 
 // keep makes reads possible again. The caller must hold the mutex.
 func (c *conn) keep() {
-	if c.expired {
+	if c.expired && !c.ended {
 		c.expired = false
 		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
@@ -158,7 +200,7 @@
 func (c *conn) sweep(l Limits, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.waiting {
+	if !c.waiting || c.expired {
 		return
 	}
 	since, limit := c.since, l.IdleTimeout
--- a/foxtaild/acceptor/sweep_test.go
+++ b/foxtaild/acceptor/sweep_test.go
@@ -53,6 +53,8 @@
 	return n, err
 }
 
+func (c gatedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // server is an http.Server behind an acceptor and a gate, with a caller's connection.
 type server struct {
 	*http.Server
