platform, foxtailctl: log and count connections that end without a whole response

Callers saw connections that ended without an answer, and the host's log had nothing that led from the request's id to the cause: a panic in the handler was reported by net/http only, at the debug level, without the id; an aborted stream left only its `request` line, whose outcome is also given to callers that had left; a response that could not be written before its write deadline failed in net/http after the handler's end, where no one sees the error; requests cut off at the end of the grace period were not named.

--- a/foxtailctl/commander/logs.go
+++ b/foxtailctl/commander/logs.go
@@ -37,6 +37,7 @@
 	RetryAfterMs  int64     `json:"retryAfterMs"`
 	Ending        string    `json:"ending"`
 	Error         string    `json:"error"`
+	Cause         string    `json:"cause"`
 	ConfigVersion uint64    `json:"version"`
 }
 
@@ -147,6 +148,8 @@
 		return fmt.Sprintf("refused with status %d by configuration %d", l.Status, l.ConfigVersion)
 	case "answer lost":
 		return fmt.Sprintf("the response of upstream %s was lost (%s): %s", l.Upstream, l.Ending, l.Error)
+	case "response broken off":
+		return fmt.Sprintf("the caller's connection was closed without a whole response (%s)", l.Cause)
 	case "upstream unreached":
 		return fmt.Sprintf("no connection to upstream %s: %s", l.Upstream, l.Error)
 	default:
