receiver: a panic is logged with the request's id and does not end the process

Cause: a stream's request is forwarded in a goroutine of its own, where nothing recovered from a panic, so that one request could end the process and every other request of the host. A panic in a handler was answered and logged under a new id that belongs to no request.

Both are now logged as `request handler panicked` with the request's id and the first 4 KB of the stack, and counted in requests{outcome="unknown",reason="internal"}; the caller gets 500, or an error event if the stream had begun.

Evidence: TestPanicIsLoggedWithRequestID; without abortPanicked its stream cases end the test process with "panic: no such pool".

--- a/foxtaild/internal/receiver/forward.go
+++ b/foxtaild/internal/receiver/forward.go
@@ -157,8 +157,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		defer k.release()
+		defer r.abortPanicked(k, s)
 		r.forward(k, req, s)
-		k.release()
 	}()
 	select {
 	case <-s.started:
@@ -176,6 +177,15 @@
 	})
 }
 
+// abortPanicked aborts a stream whose forwarder panicked. It must be deferred
+// directly by the goroutine of the stream: a panic there would end the process.
+func (r *Receiver) abortPanicked(k *call, s *stream) {
+	if fault := recover(); fault != nil {
+		r.recordPanic(k, fault)
+		s.Abort(forwarder.Refusal{Outcome: forwarder.Unknown, Reason: reasonInternal})
+	}
+}
+
 // writeResponse sends a buffered response, or the refusal that replaces it.
 func (r *Receiver) writeResponse(c fiber.Ctx, k *call, b *bufferedResponse) error {
 	if f := b.refusal(); f != nil {
--- a/foxtaild/internal/receiver/outcome.go
+++ b/foxtaild/internal/receiver/outcome.go
@@ -149,6 +149,8 @@
 	switch {
 	case f.Outcome == forwarder.NotRun || f.Outcome == forwarder.OverQuota:
 		return convertNotRun(f)
+	case f.Reason == reasonInternal:
+		return refusal{status: fiber.StatusInternalServerError, outcome: Unknown, reason: reasonInternal}
 	case f.Reason == reasonCallerGone:
 		return refusal{status: fiber.StatusBadGateway, outcome: outcomeAfterDispatch(f), reason: reasonCallerGone}
 	case f.Outcome == forwarder.TimedOut:
--- a/foxtaild/internal/receiver/receiver.go
+++ b/foxtaild/internal/receiver/receiver.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,9 @@
 	maxResponseBytes = 32 << 20
 	// maxIdleConnections is the limit of idle connections to one upstream.
 	maxIdleConnections = 64
+	// maxStackBytes is the size limit of the stack in a log line. It holds the
+	// topmost frames, which name the cause of a panic.
+	maxStackBytes = 4 << 10
 )
 
 // Secrets holds the secret keys that all hosts share.
@@ -164,8 +168,12 @@
 	f := notRunRefusal(fiber.StatusBadRequest, reasonMalformed, "The request could not be read.")
 	var fe *fiber.Error
 	if !eris.As(err, &fe) {
-		r.log.Error("HTTP request handler failed", "error", err.Error())
-		return r.writeRefusal(c, r.newID(), refusal{status: fiber.StatusInternalServerError, outcome: Unknown, reason: reasonInternal})
+		id, ok := c.Locals(callID{}).(string)
+		if !ok {
+			id = r.newID()
+		}
+		r.log.Error("HTTP request handler failed", "id", id, "error", err.Error())
+		return r.writeRefusal(c, id, refusal{status: fiber.StatusInternalServerError, outcome: Unknown, reason: reasonInternal})
 	}
 	f.status = fe.Code
 	switch f.status {
@@ -191,6 +199,10 @@
 	release   func()
 }
 
+// callID is the key of the local value of a request's context that holds the
+// call's ID.
+type callID struct{}
+
 // authorize returns a handler that authenticates a request by its API key,
 // checks the limits of its workspace, counts it as accepted and calls next.
 func (r *Receiver) authorize(next func(fiber.Ctx, *call) error) fiber.Handler {
@@ -219,17 +231,31 @@
 			f.retryAfter = time.Second
 			return r.writeRefusal(c, id, f)
 		}
-		k := r.accept(c, id, cfg.Directory(), ws)
-		defer func() {
-			if fault := recover(); fault != nil {
-				k.release()
-				panic(fault)
-			}
-		}()
-		return next(c, k)
+		return r.handle(c, r.accept(c, id, cfg.Directory(), ws), next)
 	}
 }
 
+// handle calls the handler of a call. If it panics, it ends the call and panics
+// again, so that the error handler responds.
+func (r *Receiver) handle(c fiber.Ctx, k *call, next func(fiber.Ctx, *call) error) error {
+	c.Locals(callID{}, k.id)
+	defer func() {
+		if fault := recover(); fault != nil {
+			r.recordPanic(k, fault)
+			k.release()
+			panic(fault)
+		}
+	}()
+	return next(c, k)
+}
+
+// recordPanic logs and counts a call whose handler panicked.
+func (r *Receiver) recordPanic(k *call, fault any) {
+	stack := debug.Stack()
+	r.log.Error("request handler panicked", "id", k.id, "panic", fault, "stack", string(stack[:min(len(stack), maxStackBytes)]))
+	r.recordUnforwarded(k, Unknown, reasonInternal)
+}
+
 // accept returns the call of an accepted request.
 func (r *Receiver) accept(c fiber.Ctx, id string, dir *contract.Directory, ws contract.WorkspaceInfo) *call {
 	now := time.Now()
