connector: a reset that a concurrent write was told of is not a clean end

What callers saw: a response with neither length nor chunks that was reset on its way looked complete, with part of its body, if the upstream had begun to respond before it had read a long request.

Cause: the kernel reports a reset, or a time-out of its own, to one call on the socket only. Requests of more than 4 KB are written while the response is read. When the write took the error, the next read returned 0 bytes, which is the end of such a response, or of a stream between events.

At the end of a connection its TCP state is now read: after the peer's FIN it is not "closed", after a reset or time-out it is. It costs one call at the end of a connection. A connection that was closed by the upstream and then reset, because the rest of the request came after, counts as reset.

--- a/foxtaild/connector/connector.go
+++ b/foxtaild/connector/connector.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -93,6 +94,41 @@
 // idle, as stated by the upstream.
 func (c *Conn) SetIdleTimeout(d time.Duration) { c.idleTimeout = d }
 
+// errReset is the error of a read from a connection that was reset while it was
+// written to.
+var errReset = eris.New("connection was reset by the upstream or timed out")
+
+// resetReader reads from a TCP connection. The kernel reports a reset to one call
+// only; if a concurrent write gets the error, a read would see a clean end, which
+// also ends responses without a length.
+type resetReader struct{ net.Conn }
+
+// Read reads from the connection. At its end it returns io.EOF only if the upstream
+// has closed the connection, and errReset otherwise.
+func (r resetReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if errors.Is(err, io.EOF) && !closedByPeer(r.Conn) {
+		err = errReset
+	}
+	return n, err
+}
+
+// closedByPeer reports whether the end of a TCP connection that was read was sent by
+// the peer. It is true for a connection whose state is unknown.
+func closedByPeer(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	ctlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return ctlErr == nil && (err != nil || info.State != unix.BPF_TCP_CLOSE)
+}
+
 // Connector is a pool of connections. It is safe for concurrent use.
 type Connector struct {
 	dialer  net.Dialer
@@ -154,7 +190,7 @@
 		return nil, eris.Wrapf(err, "connect to upstream at %s", address)
 	}
 	c.made.Add(1)
-	watched := &watchedReader{Conn: raw}
+	watched := &watchedReader{Conn: resetReader{raw}}
 	limiter := &readLimiter{r: watched, left: -1}
 	return &Conn{
 		Conn: raw, br: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, watched: watched,
