coordinator: the rate of a cold upstream follows the configuration

What was seen: nothing in the field; found by applying changes of the configuration to a coordinator with waiting requests. A cold upstream received 200 requests in a second where 24.5 are allowed.

Cause: an upstream's rate while it is cold was set when the upstream was first listed and when the membership changed. An upstream that was listed before its pool came into the configuration, as that of a new service, had no limit; a lower rate in a new version, or of the pool to which an upstream moved, had no effect.

The rate is now set with each configuration and each list of upstreams. The bucket keeps its level, so that no burst comes from it.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -144,6 +144,9 @@
 	for _, p := range t.Pools() {
 		c.pool(p.Name, now).Pool = p
 	}
+	for _, u := range c.upstreams {
+		c.setColdRate(u, now)
+	}
 	for _, w := range t.Workspaces() {
 		if q := c.quotas[w.Name]; q != nil {
 			q.SetLimits(w.Rate, w.Burst, now)
@@ -203,10 +206,10 @@
 		if u == nil || u.Born != e.Born {
 			u = newUpstream(e)
 			c.upstreams[e.ID] = u
-			c.setColdRate(u, now)
 		}
 		u.Entry = e
 		u.unavailable = false
+		c.setColdRate(u, now)
 	}
 	for id, u := range c.upstreams {
 		if !listed[id] {
