forwarder: an upstream's status below 100 is no response

What callers would see: an upstream that responds with a status such as 099 made net/http panic when the status was written, and the caller's connection ended without an answer. Found by reading what can end a connection without a response; not seen in the field.

Such a response counts as invalid now, like one that is not HTTP. The two new cases of TestUpstreamResponses failed before.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -282,6 +282,10 @@
 			return err
 		}
 		a.conn.SetReadLimit(-1)
+		if resp.StatusCode < http.StatusContinue {
+			// net/http panics when such a status is written.
+			return errInvalidResponse
+		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
--- a/foxtaild/forwarder/forwarder_test.go
+++ b/foxtaild/forwarder/forwarder_test.go
@@ -237,7 +237,7 @@
 
 // response returns a whole response.
 func response(status int, headers, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %%ID\r\n%sContent-Length: %d\r\n\r\n%s", status, idHeader, headers, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 %03d X\r\n%s: %%ID\r\n%sContent-Length: %d\r\n\r\n%s", status, idHeader, headers, len(body), body)
 }
 
 // sealed is the header line of an authentic response.
@@ -342,6 +342,8 @@
 		"not authentic":                     {nonIdempotent, step{bytes: response(200, "", "forged")}, okResponse("no"), "unknown", [2]int{1, 0}},
 		"content encoding":                  {nonIdempotent, step{bytes: response(200, sealed+"Content-Encoding: gzip\r\n", "x")}, okResponse("no"), "unknown", [2]int{1, 0}},
 		"not HTTP":                          {nonIdempotent, step{bytes: "what?\r\n\r\n"}, okResponse("no"), "unknown", [2]int{1, 0}},
+		"status below 100, not repeatable":  {nonIdempotent, step{bytes: response(99, sealed, "hi")}, okResponse("no"), "unknown", [2]int{1, 0}},
+		"status below 100, repeatable":      {idempotent, step{bytes: response(0, sealed, "hi")}, okResponse("yes"), "200 yes", [2]int{1, 1}},
 		"response to another request first": {nonIdempotent, step{bytes: strings.ReplaceAll(response(200, sealed, "theirs"), "%ID", "other") + response(200, sealed, "ours")}, okResponse("no"), "200 ours", [2]int{1, 0}},
 		"response to another request only":  {nonIdempotent, step{bytes: strings.ReplaceAll(response(200, sealed, "theirs"), "%ID", "other"), action: closeConn}, okResponse("no"), "unknown", [2]int{1, 0}},
 		"extra response after":              {nonIdempotent, step{bytes: response(200, sealed, "ours") + response(200, sealed, "again")}, okResponse("no"), "200 ours", [2]int{1, 0}},
