--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -343,7 +343,7 @@
 		res.ending = coordinator.TimedOut
 		a.refusal = Refusal{Outcome: TimedOut, Reason: "upstreamSilent", RetryAfter: defaultRetryAfter}
 	}
-	a.log.Info("answer lost", "id", a.r.ID, "upstream", a.grant.Upstream, "ending", res.ending.String(), "after", a.lastEventID, "reused", a.conn.Reused(), "digest", a.r.logDigest(), "error", err.Error())
+	a.log.Info("answer lost", "id", a.r.ID, "upstream", a.grant.Upstream, "ending", res.ending.String(), "after", a.lastEventID, "reused", a.conn.Reused(), "digest", a.r.logDigest(), "parts", a.r.logParts(), "error", err.Error())
 	return res
 }
 
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -235,7 +235,7 @@
 		"retryAfterMs", h.refusal.RetryAfter.Milliseconds(),
 		"prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
 		"waitedMs", h.waited.Milliseconds(), "firstMs", h.firstEvent.Milliseconds(), "pauseMs", h.longestPause.Milliseconds(), "tookMs", took.Milliseconds(),
-		"owner", h.owner, "upstreams", h.tried, "endings", h.endings, "digest", r.logDigest())
+		"owner", h.owner, "upstreams", h.tried, "endings", h.endings, "digest", r.logDigest(), "parts", r.logParts())
 	upstream := ""
 	if len(h.tried) > 0 {
 		upstream = h.tried[len(h.tried)-1]
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -50,12 +50,25 @@
 	// Digest is a hash of what a repeat of the request by its caller has in common
 	// with it, and Prefix one of the beginning of its prompt; 0 means none.
 	Digest, Prefix uint64
+	// Parts are hashes of the parts of its prompt that other requests may share,
+	// without its own last part.
+	Parts []uint64
 }
 
 // logDigest returns the digest as it is logged, so that repeats of one request by
 // its caller can be found on all hosts.
 func (r *Request) logDigest() string { return strconv.FormatUint(r.Digest, 16) }
 
+// logParts returns the parts as they are logged, so that those which requests
+// share can be found on all hosts.
+func (r *Request) logParts() []string {
+	parts := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		parts[i] = strconv.FormatUint(p, 16)
+	}
+	return parts
+}
+
 // NoEvent is the LastEventID of a caller that has received no event yet.
 const NoEvent int64 = -1
 
