linker: a failing test of requests that share a part that crashes upstreams

Requests no two of which are alike have one part in common that crashes each upstream which begins to answer. On this code nothing is refused: they reach upstreams until the test stops at the ninth; at most eight are allowed (five until the fifth crash and three after it).

--- a/foxtaild/linker/crash_test.go
+++ b/foxtaild/linker/crash_test.go
@@ -137,13 +137,13 @@
 }
 
 // send sends a request to a host and returns the refusal, nil if there was none.
-func (f *crashFleet) send(h *host, path string, digest uint64) *forwarder.Refusal {
+func (f *crashFleet) send(h *host, path string, digest uint64, parts ...uint64) *forwarder.Refusal {
 	route := &router.Route{Kind: router.Idempotent, Objective: time.Second, Attempts: 1}
 	now := time.Now()
 	var d discardResponder
 	f.forwarder[h].Serve(context.Background(), &forwarder.Request{
 		ID: "r", Method: http.MethodGet, Target: path, Route: route, Pool: "engines",
-		Arrived: now, Deadline: now.Add(5 * time.Second), LastEventID: forwarder.NoEvent, Digest: digest,
+		Arrived: now, Deadline: now.Add(5 * time.Second), LastEventID: forwarder.NoEvent, Digest: digest, Parts: parts,
 	}, &d)
 	return d.refusal
 }
