quarantiner: digests of prompt parts, cleared by answers that begin

What callers saw: requests that share one part of their prompt crash one upstream after the other. No two of them are alike, so no digest of a whole request is reported twice and none is refused.

Cause: a report is about a whole request, and only a completed run clears it. A digest that many requests share needs both a proof of innocence that comes earlier and more crashes before a refusal, because sound parts travel with the one that crashes the upstream.

Change: a quarantiner can be configured for such digests. RecordBegun clears the reports of runs that were sent before, and a bounded history does so for reports that arrive later. A part on which an answer had begun before a crash needs more crashes (WithThresholds); the report says so, so that all hosts agree. Without options the thresholds and the clearing are as before. The number of reports kept of one digest follows from the higher threshold. Report and record moved to record.go.

--- a/scheduler/quarantiner/doc.go
+++ b/scheduler/quarantiner/doc.go
@@ -18,5 +18,16 @@
 // counted to cleared, so hosts may receive reports in any order and any number of
 // times, and a report survives as long as any host that has received it.
 //
+// A second quarantiner does the same for parts of prompts, which many requests
+// share. The digest is then that of a part. A sound part often takes part in crashes
+// by another one of the same requests, so the two are told apart by the answers
+// that begin:
+//
+//   - an answer that begins clears the reports of all runs with the part that were
+//     sent before. Each host remembers for a while when answers began (history.go),
+//     so that this includes reports that arrive later;
+//   - a part on which an answer had begun before a crash is known and has a higher
+//     threshold. A report says so, so that all hosts use the same threshold.
+//
 // Digests are hashes; no part of a request is stored.
 package quarantiner
--- a/scheduler/quarantiner/exchange.go
+++ b/scheduler/quarantiner/exchange.go
@@ -26,12 +26,15 @@
 	Crashes uint8 `cbor:"6,keyasint,omitempty"`
 	// Cleared reports that a request with the digest has completed since.
 	Cleared bool `cbor:"5,keyasint,omitempty"`
+	// Known reports that a host remembers an answer on the digest from before the
+	// crash.
+	Known bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Message carries reports to another host.
 type Message struct {
-	// Confirmed is a hash of the sender's digests with RefuseAfterCrashes crashes
-	// or more. Hosts with different hashes send each other the reports of these
+	// Confirmed is a hash of the sender's digests that have reached their
+	// threshold. Hosts with different hashes send each other the reports of these
 	// digests.
 	Confirmed uint64   `cbor:"1,keyasint,omitempty"`
 	Reports   []Report `cbor:"2,keyasint,omitempty"`
@@ -79,41 +82,38 @@
 func (q *Quarantiner) Merge(x Report, now time.Time) bool {
 	lost := now.Add(-time.Duration(x.AgeMs) * time.Millisecond)
 	sent := lost.Add(-time.Duration(x.RanMs) * time.Millisecond)
-	crashes := min(int(x.Crashes), maxReportsPerDigest)
-	if q.records[x.Digest] == nil && now.Sub(lost) >= q.retentionOf(crashes) {
+	crashes := min(int(x.Crashes), q.maxReports())
+	if q.records[x.Digest] == nil && now.Sub(lost) >= q.retentionOf(crashes, x.Known || x.Cleared) {
 		return false
 	}
-	added := q.RecordCrash(x.Digest, x.Upstream, sent, lost)
+	if q.add(x.Digest, x.Upstream, report{sent: sent, lost: lost, crashes: crashes, received: true, cleared: x.Cleared, known: x.Known}) {
+		q.recordChange(x.Digest, x.Upstream)
+		return true
+	}
 	own := q.records[x.Digest].reports[x.Upstream]
 	if own == nil {
 		return false
 	}
-	if added {
-		own.received, own.crashes = true, crashes
-		q.recordChange(x.Digest, x.Upstream)
-	}
-	switch {
-	case x.Cleared && !own.cleared:
-		own.cleared = true
-		q.recordChange(x.Digest, x.Upstream)
-		return true
-	case own.cleared && !x.Cleared:
-		// The sender does not know that the report is cleared.
-		q.recordChange(x.Digest, x.Upstream)
-	case own.received && lost.Before(own.lost):
+	if own.received && lost.Before(own.lost) {
 		// The longer a report is on its way, the younger it seems.
 		own.sent, own.lost = sent, lost
-		r := q.records[x.Digest]
-		r.count()
-		q.setConfirmed(x.Digest, r, r.confirmed())
+		q.count(x.Digest, q.records[x.Digest])
 	}
-	return added
+	cleared := own.cleared || x.Cleared || q.history.begunAfter(x.Digest, own.sent)
+	known := own.known || x.Known
+	changed := cleared != own.cleared || known != own.known
+	own.cleared, own.known = cleared, known
+	if changed || cleared != x.Cleared || known != x.Known {
+		// One of the two hosts does not know all of it.
+		q.recordChange(x.Digest, x.Upstream)
+	}
+	return changed
 }
 
 // encode returns a report for another host.
 func (r *report) encode(d Digest, upstream uint64, now time.Time) Report {
 	return Report{
-		Digest: d, Upstream: upstream, Crashes: uint8(min(r.crashes, maxReportsPerDigest)), Cleared: r.cleared,
+		Digest: d, Upstream: upstream, Crashes: uint8(min(r.crashes, math.MaxUint8)), Cleared: r.cleared, Known: r.known,
 		AgeMs: milliseconds(now.Sub(r.lost)), RanMs: milliseconds(r.lost.Sub(r.sent)),
 	}
 }
--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"time"
 )
 
@@ -13,15 +12,16 @@
 	// DefaultCapacity is the maximum number of digests kept.
 	DefaultCapacity = 4096
 	// RefuseAfterCrashes is the number of crashes from which on a digest is
-	// refused.
+	// refused, unless WithThresholds sets others.
 	RefuseAfterCrashes = 2
-	// minRefusal is how long a digest is refused after RefuseAfterCrashes crashes.
-	// Each further crash multiplies it by refusalFactor: a request that always
-	// crashes its upstream runs five times on its first day.
+	// minRefusal is how long a digest is refused from its threshold on. Each
+	// further crash multiplies it by refusalFactor: a request that always crashes
+	// its upstream runs five times on its first day.
 	minRefusal    = time.Minute
 	refusalFactor = 20
-	// maxReportsPerDigest is the number of reports kept of one digest.
-	maxReportsPerDigest = 8
+	// reportsBeyondThreshold is by how much the number of reports kept of one digest
+	// exceeds the higher threshold.
+	reportsBeyondThreshold = 6
 	// orderTolerance is by how much the times of reports from different hosts may
 	// differ because of the time that the reports took to arrive.
 	orderTolerance = 50 * time.Millisecond
@@ -52,90 +52,18 @@
 // String returns the verdict's name in logs.
 func (v Verdict) String() string { return [...]string{"clean", "suspect", "refused"}[v] }
 
-// report is what is known about one digest in the crash of one upstream process.
-type report struct {
-	// sent is when the request was sent and lost when its connection was lost.
-	sent, lost time.Time
-	// crashes is the number of crashes that the host which recorded this one
-	// attributed to the digest then, this one included.
-	crashes int
-	// received is set if another host recorded the crash, which makes the times
-	// less exact.
-	received bool
-	// cleared reports do not count.
-	cleared bool
-	// transmissions counts how many messages have carried the report since it was
-	// new or changed.
-	transmissions int
-}
-
-// follows reports whether a run was sent after another one was lost.
-func (r *report) follows(before *report) bool {
-	if !r.received && !before.received {
-		return !r.sent.Before(before.lost)
-	}
-	return !r.sent.Before(before.lost.Add(-orderTolerance)) && !r.lost.Before(before.lost.Add(orderTolerance))
-}
-
-// record holds the reports of one digest by upstream process.
-type record struct {
-	reports map[uint64]*report
-	// crashes is the number of crashes that follow each other and lastCrash the
-	// time of the last of them, without cleared reports. lastReport includes these.
-	crashes               int
-	lastCrash, lastReport time.Time
-}
-
-// count sets crashes to the size of the largest set of runs that follow each
-// other, or to what another host has counted if that is more.
-func (r *record) count() {
-	runs := make([]*report, 0, len(r.reports))
-	r.lastReport = time.Time{}
-	for _, x := range r.reports {
-		if !x.cleared {
-			runs = append(runs, x)
-		}
-		if x.lost.After(r.lastReport) {
-			r.lastReport = x.lost
-		}
-	}
-	slices.SortFunc(runs, func(a, b *report) int { return a.lost.Compare(b.lost) })
-	r.crashes, r.lastCrash = 0, time.Time{}
-	counted, most := (*report)(nil), 0
-	for _, x := range runs {
-		if counted == nil || x.follows(counted) {
-			counted = x
-			r.crashes++
-		}
-		most = max(most, x.crashes)
-		r.lastCrash = x.lost
-	}
-	r.crashes = max(r.crashes, most)
-}
-
-// confirmed reports whether the digest has crashed enough upstreams to be refused.
-func (r *record) confirmed() bool { return r.crashes >= RefuseAfterCrashes }
-
-// refusal returns how long a digest is refused after a number of crashes.
-func refusal(crashes int) time.Duration {
-	if crashes < RefuseAfterCrashes {
-		return 0
-	}
-	d := minRefusal
-	for range crashes - RefuseAfterCrashes {
-		d *= refusalFactor
-	}
-	return d
-}
-
 // Quarantiner keeps the crash reports of request digests. It is not safe for
 // concurrent use.
 type Quarantiner struct {
-	retention  time.Duration
-	capacity   int
-	records    map[Digest]*record
-	lastExpiry time.Time
-	// confirmed holds the digests with RefuseAfterCrashes crashes or more, and
+	retention time.Duration
+	capacity  int
+	// unknown and known are the numbers of crashes from which on digests are
+	// refused.
+	unknown, known int
+	records        map[Digest]*record
+	history        *history
+	lastExpiry     time.Time
+	// confirmed holds the digests that have reached their threshold, and
 	// confirmedHash is a hash of them that does not depend on their order.
 	confirmed     map[Digest]*record
 	confirmedHash uint64
@@ -164,11 +92,27 @@
 	return func(q *Quarantiner) { q.capacity = n }
 }
 
+// WithThresholds sets the numbers of crashes from which on digests are refused: a
+// higher one for known digests, on which an answer had begun before a crash.
+func WithThresholds(unknown, known int) Option {
+	return func(q *Quarantiner) { q.unknown, q.known = unknown, known }
+}
+
+// WithHistory remembers when answers began on up to a number of digests, so that
+// reports of earlier runs that arrive later are cleared, and digests on which an
+// answer began within the retention before a crash count as known.
+func WithHistory(retention time.Duration, capacity int) Option {
+	return func(q *Quarantiner) { q.history = newHistory(retention, capacity) }
+}
+
 // New returns a quarantiner without any reports.
 func New(opts ...Option) *Quarantiner {
 	q := &Quarantiner{
 		retention: DefaultRetention,
 		capacity:  DefaultCapacity,
+		unknown:   RefuseAfterCrashes,
+		known:     RefuseAfterCrashes,
+		history:   newHistory(0, 0),
 		records:   make(map[Digest]*record),
 		confirmed: make(map[Digest]*record),
 		unsent:    make(map[reportKey]*report),
@@ -179,8 +123,8 @@
 	return q
 }
 
-// Len returns the number of digests kept, and how many of them have crashed
-// RefuseAfterCrashes upstreams or more.
+// Len returns the number of digests kept, and how many of them have reached their
+// threshold.
 func (q *Quarantiner) Len() (digests, confirmed int) { return len(q.records), len(q.confirmed) }
 
 // Verdict returns whether and how a request with the digest may run.
@@ -191,9 +135,9 @@
 	}
 	age := now.Sub(r.lastCrash)
 	switch {
-	case age >= q.retentionOf(r.crashes):
+	case age >= q.retentionOf(r.crashes, r.known):
 		return Clean
-	case r.confirmed() && age < refusal(r.crashes):
+	case q.confirmed[d] != nil && age < q.refusal(r.crashes, r.known):
 		return Refused
 	default:
 		return Suspect
@@ -208,29 +152,63 @@
 	return 0
 }
 
+// threshold returns the number of crashes from which on a digest is refused.
+func (q *Quarantiner) threshold(known bool) int {
+	if known {
+		return q.known
+	}
+	return q.unknown
+}
+
+// refusal returns how long a digest is refused after a number of crashes.
+func (q *Quarantiner) refusal(crashes int, known bool) time.Duration {
+	further := crashes - q.threshold(known)
+	if further < 0 {
+		return 0
+	}
+	d := minRefusal
+	for range min(further, reportsBeyondThreshold) {
+		d *= refusalFactor
+	}
+	return d
+}
+
 // retentionOf returns how long a digest is kept after the last of a number of crashes:
 // beyond its refusal, so that a further crash extends the refusal.
-func (q *Quarantiner) retentionOf(crashes int) time.Duration {
-	return max(q.retention, 2*refusal(crashes))
+func (q *Quarantiner) retentionOf(crashes int, known bool) time.Duration {
+	return max(q.retention, 2*q.refusal(crashes, known))
 }
 
+// maxReports returns the number of reports kept of one digest.
+func (q *Quarantiner) maxReports() int { return max(q.unknown, q.known) + reportsBeyondThreshold }
+
 // RecordCrash records that an upstream process crashed while a request with the
 // digest was in flight. It returns whether that is a new report.
 func (q *Quarantiner) RecordCrash(d Digest, upstream uint64, sent, lost time.Time) bool {
-	q.expire(lost)
+	if !q.add(d, upstream, report{sent: sent, lost: lost, known: q.history.begunWithin(d, lost)}) {
+		return false
+	}
+	q.recordChange(d, upstream)
+	r := q.records[d]
+	r.reports[upstream].crashes = r.crashes
+	return true
+}
+
+// add adds a report unless there is one already or there are too many. It is
+// cleared if an answer began after its run was sent.
+func (q *Quarantiner) add(d Digest, upstream uint64, x report) bool {
+	q.expire(x.lost)
 	r := q.records[d]
 	if r == nil {
 		r = &record{reports: make(map[uint64]*report)}
 		q.records[d] = r
+		q.evict(d)
 	}
-	if r.reports[upstream] != nil || len(r.reports) >= maxReportsPerDigest && !q.removeCleared(d) {
+	if r.reports[upstream] != nil || len(r.reports) >= q.maxReports() && !q.removeCleared(d) {
 		return false
 	}
-	x := &report{sent: sent, lost: lost}
-	r.reports[upstream] = x
-	q.recordChange(d, upstream)
-	x.crashes = r.crashes
-	q.evict(d)
+	x.cleared = x.cleared || q.history.begunAfter(d, x.sent)
+	r.reports[upstream] = &x
 	return true
 }
 
@@ -250,12 +228,25 @@
 // RecordComplete records that a request with the digest has run and completed. It
 // returns whether that cleared any report.
 func (q *Quarantiner) RecordComplete(d Digest) (cleared bool) {
+	return q.clear(d, func(*report) bool { return true })
+}
+
+// RecordBegun records that an answer on the digest has begun, which clears the
+// reports of runs that were sent before. It returns whether there were any.
+func (q *Quarantiner) RecordBegun(d Digest, now time.Time) (cleared bool) {
+	q.history.record(d, now)
+	return q.clear(d, func(x *report) bool { return x.sent.Before(now) })
+}
+
+// clear clears the reports of a digest that a function selects and returns whether
+// there were any.
+func (q *Quarantiner) clear(d Digest, selected func(x *report) bool) (cleared bool) {
 	r := q.records[d]
 	if r == nil {
 		return false
 	}
 	for upstream, x := range r.reports {
-		if !x.cleared {
+		if !x.cleared && selected(x) {
 			x.cleared, cleared = true, true
 			q.recordChange(d, upstream)
 		}
@@ -267,13 +258,18 @@
 // queues the report for other hosts.
 func (q *Quarantiner) recordChange(d Digest, upstream uint64) {
 	r := q.records[d]
-	r.count()
-	q.setConfirmed(d, r, r.confirmed())
+	q.count(d, r)
 	x := r.reports[upstream]
 	x.transmissions = 0
 	q.unsent[reportKey{d, upstream}] = x
 }
 
+// count updates what a digest's reports add up to.
+func (q *Quarantiner) count(d Digest, r *record) {
+	r.count()
+	q.setConfirmed(d, r, r.crashes >= q.threshold(r.known))
+}
+
 // setConfirmed adds a digest to the confirmed ones or removes it.
 func (q *Quarantiner) setConfirmed(d Digest, r *record, confirmed bool) {
 	if (q.confirmed[d] != nil) == confirmed {
@@ -305,7 +301,7 @@
 	}
 	q.lastExpiry = now
 	for d, r := range q.records {
-		if now.Sub(r.lastReport) >= q.retentionOf(r.crashes) {
+		if now.Sub(r.lastReport) >= q.retentionOf(r.crashes, r.known) {
 			q.remove(d)
 		}
 	}
--- /dev/null
+++ b/scheduler/quarantiner/record.go
@@ -0,0 +1,74 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+)
+
+// report is what is known about one digest in the crash of one upstream process.
+type report struct {
+	// sent is when the request was sent and lost when its connection was lost.
+	sent, lost time.Time
+	// crashes is the number of crashes that the host which recorded this one
+	// attributed to the digest then, this one included.
+	crashes int
+	// received is set if another host recorded the crash, which makes the times
+	// less exact.
+	received bool
+	// cleared reports do not count.
+	cleared bool
+	// known is set if a host remembers that an answer on the digest had begun
+	// before the crash.
+	known bool
+	// transmissions counts how many messages have carried the report since it was
+	// new or changed.
+	transmissions int
+}
+
+// follows reports whether a run was sent after another one was lost.
+func (r *report) follows(before *report) bool {
+	if !r.received && !before.received {
+		return !r.sent.Before(before.lost)
+	}
+	return !r.sent.Before(before.lost.Add(-orderTolerance)) && !r.lost.Before(before.lost.Add(orderTolerance))
+}
+
+// record holds the reports of one digest by upstream process.
+type record struct {
+	reports map[uint64]*report
+	// crashes is the number of crashes that follow each other and lastCrash the
+	// time of the last of them, without cleared reports. lastReport includes these.
+	crashes               int
+	lastCrash, lastReport time.Time
+	// known is set if an answer on the digest had begun before a crash, or has
+	// since.
+	known bool
+}
+
+// count sets crashes to the size of the largest set of runs that follow each
+// other, or to what another host has counted if that is more.
+func (r *record) count() {
+	runs := make([]*report, 0, len(r.reports))
+	r.lastReport, r.known = time.Time{}, false
+	for _, x := range r.reports {
+		r.known = r.known || x.known || x.cleared
+		if !x.cleared {
+			runs = append(runs, x)
+		}
+		if x.lost.After(r.lastReport) {
+			r.lastReport = x.lost
+		}
+	}
+	slices.SortFunc(runs, func(a, b *report) int { return a.lost.Compare(b.lost) })
+	r.crashes, r.lastCrash = 0, time.Time{}
+	counted, most := (*report)(nil), 0
+	for _, x := range runs {
+		if counted == nil || x.follows(counted) {
+			counted = x
+			r.crashes++
+		}
+		most = max(most, x.crashes)
+		r.lastCrash = x.lost
+	}
+	r.crashes = max(r.crashes, most)
+}
