quarantiner: crashes that are cleared don't count through another host's count

What callers saw: a request is refused after one crash although it completed at another host between this crash and the one before.

Cause: a report carries how many crashes the host that recorded it had counted. That count stayed in force when reports that it includes were cleared.

Evidence: TestClearedCrashesCountedByAnotherHostDoNotCount fails before, with the verdict refused at both hosts.

Why the fix works: counts of other hosts are ignored once an earlier report of the digest is cleared. The reports themselves still add up; the count only stands in for reports that are missing.

--- a/scheduler/quarantiner/exchange_test.go
+++ b/scheduler/quarantiner/exchange_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// TestClearedCrashesCountedByAnotherHostDoNotCount lets a request complete at one
+// host between two crashes at another, which counts both.
+func TestClearedCrashesCountedByAnotherHostDoNotCount(t *testing.T) {
+	a, b := quarantiner.New(), quarantiner.New()
+	crash(a, 1, 1, 0)
+	b.Receive(a.Message(maxReports, start), start)
+	b.RecordComplete(1)
+	crash(a, 1, 2, time.Second)
+	now := start.Add(time.Second)
+	m := b.Message(maxReports, now)
+	b.Receive(a.Message(maxReports, now), now)
+	a.Receive(m, now)
+	for name, q := range map[string]*quarantiner.Quarantiner{"crashes": a, "completed run": b} {
+		if v := q.Verdict(1, now); v != quarantiner.Suspect {
+			t.Errorf("verdict of the host with the %s is %v, want suspect", name, v)
+		}
+	}
+}
+
 // TestNewHostLearnsOfOldCrashes starts a host hours after the last of four crashes, when
 // the digest is still refused, and another one after the digest's retention.
 func TestNewHostLearnsOfOldCrashes(t *testing.T) {
--- a/scheduler/quarantiner/record.go
+++ b/scheduler/quarantiner/record.go
@@ -46,28 +46,33 @@
 }
 
 // count sets crashes to the size of the largest set of runs that follow each
-// other, or to what another host has counted if that is more.
+// other, or to what another host has counted if that is more. It ignores counts of
+// other hosts that may include a report that has been cleared.
 func (r *record) count() {
 	runs := make([]*report, 0, len(r.reports))
 	r.lastReport, r.known = time.Time{}, false
 	for _, x := range r.reports {
 		r.known = r.known || x.known || x.cleared
-		if !x.cleared {
-			runs = append(runs, x)
-		}
+		runs = append(runs, x)
 		if x.lost.After(r.lastReport) {
 			r.lastReport = x.lost
 		}
 	}
 	slices.SortFunc(runs, func(a, b *report) int { return a.lost.Compare(b.lost) })
 	r.crashes, r.lastCrash = 0, time.Time{}
-	counted, most := (*report)(nil), 0
+	counted, most, cleared := (*report)(nil), 0, false
 	for _, x := range runs {
+		if x.cleared {
+			cleared = true
+			continue
+		}
 		if counted == nil || x.follows(counted) {
 			counted = x
 			r.crashes++
 		}
-		most = max(most, x.crashes)
+		if !cleared {
+			most = max(most, x.crashes)
+		}
 		r.lastCrash = x.lost
 	}
 	r.crashes = max(r.crashes, most)
