forwarder, inspector, linker: refuse parts of prompts that crash upstreams

What callers saw: requests that share one part of their prompt go on crashing upstreams; no two of them are alike, and nothing is refused.

Cause: crash reports were on the digest of the whole request only, which never repeats here.

Why it works: the inspector has a second quarantiner for parts. A lost run names its parts as suspects only if no answer to the request had begun and the other side ended the connection, so that time-outs and partitions condemn none; the health check decides as before. The first event of a stream, or a whole successful response, clears its parts, so that sound parts which travel with the crashing one stay usable. Hosts exchange reports on parts under a key of their own in membership messages, which the build before ignores; they take at most half of the room for reports.

TestRunsAreReportedToQuarantine, TestLargestMessageFitsADatagram and the test of older builds' messages (now TestOlderBuildsReadMessages) check all that they did and more.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -53,6 +53,8 @@
 	status           int
 	// successor is the attempt that has taken the request over, if any.
 	successor *attempt
+	// lostBy is the error of a connection that was lost.
+	lostBy error
 }
 
 // attempt is the exchange of a request with one upstream.
@@ -130,11 +132,14 @@
 	switch {
 	case a.upstream.ID == "":
 	case res.ending == coordinator.ConnectionLost, res.ending == coordinator.TimedOut:
-		a.quarantine.RecordLoss(a.r.Digest, a.upstream, a.start)
+		a.quarantine.RecordLoss(Loss{Digest: a.r.Digest, Parts: a.suspectParts(res.lostBy), Upstream: a.upstream, Sent: a.start})
 	case res.ending != coordinator.Complete, res.status/100 != 2:
 	case a.r.Route.Kind == router.Streaming && a.finish.FirstToken == 0:
 		// A stream without events may be one that the upstream's crash has ended.
 	default:
+		if a.r.Route.Kind != router.Streaming {
+			a.quarantine.RecordBegun(a.r.Parts)
+		}
 		a.quarantine.RecordComplete(a.r.Digest)
 	}
 }
@@ -197,7 +202,7 @@
 	if !ok || ctx.Err() != nil {
 		return a.endUnused("upstreamLeft"), false
 	}
-	if a.quarantine.Refuses(a.r.Digest) {
+	if a.quarantine.Refuses(a.r.Digest, a.r.Parts) {
 		a.refuseQuarantined()
 		return attemptResult{ending: coordinator.Unused, final: true}, false
 	}
@@ -337,7 +342,7 @@
 		}
 		return attemptResult{ending: coordinator.TimedOut, final: true}
 	}
-	res := attemptResult{ending: coordinator.ConnectionLost}
+	res := attemptResult{ending: coordinator.ConnectionLost, lostBy: err}
 	a.refusal = Refusal{Outcome: Unknown, Reason: "answerLost", RetryAfter: defaultRetryAfter}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		res.ending = coordinator.TimedOut
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -285,7 +285,7 @@
 // kept unless the request may already have run.
 func (h *handler) requestGrant(ctx context.Context) (Grant, bool) {
 	r := h.r
-	if h.quarantine.Refuses(r.Digest) {
+	if h.quarantine.Refuses(r.Digest, r.Parts) {
 		h.refuseQuarantined()
 		return Grant{}, false
 	}
--- /dev/null
+++ b/foxtaild/forwarder/loss.go
@@ -0,0 +1,36 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"syscall"
+
+	"foxtaillug.org/scheduler/router"
+)
+
+// connectionEnds are the errors of connections that the upstream, or the system that
+// it ran on, has ended. Silence is none of them.
+var connectionEnds = []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedStream, syscall.ECONNRESET, syscall.EPIPE}
+
+// suspectParts returns the parts of the prompt that may have crashed the upstream
+// when the connection was lost.
+func (h *handler) suspectParts(err error) []uint64 {
+	if h.hasBegun() {
+		return nil
+	}
+	for _, end := range connectionEnds {
+		if errors.Is(err, end) {
+			return h.r.Parts
+		}
+	}
+	return nil
+}
+
+// hasBegun reports whether any upstream has begun to answer the request, also in an
+// earlier request that this one resumes. The head of a stream is no answer yet.
+func (h *handler) hasBegun() bool {
+	if h.r.Route.Kind == router.Streaming {
+		return h.firstEvent != 0 || h.lastEventID != NoEvent
+	}
+	return h.responseStarted
+}
--- a/foxtaild/forwarder/quarantine_test.go
+++ b/foxtaild/forwarder/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -16,6 +17,11 @@
 	"foxtaillug.org/scheduler/router"
 )
 
+// testDigest and testParts are those of the request under test.
+const testDigest = 7
+
+var testParts = []uint64{11, 12}
+
 // fakeQuarantine records the reports that it gets. From the n-th call of Refuses on it
 // refuses.
 type fakeQuarantine struct {
@@ -25,14 +31,25 @@
 	events     []string
 }
 
-func (q *fakeQuarantine) Refuses(uint64) bool {
+func (q *fakeQuarantine) Refuses(_ uint64, parts []uint64) bool {
+	if !slices.Equal(parts, testParts) {
+		q.add(fmt.Sprint("asked about ", parts))
+	}
+
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.calls++
 	return q.refuseFrom > 0 && q.calls >= q.refuseFrom
 }
 
-func (q *fakeQuarantine) RecordLoss(_ uint64, e registrar.Entry, _ time.Time) { q.add("lost " + e.ID) }
+func (q *fakeQuarantine) RecordLoss(l forwarder.Loss) {
+	if l.Digest != testDigest || l.Sent.IsZero() {
+		q.add(fmt.Sprintf("wrong loss %+v", l))
+	}
+	q.add(fmt.Sprint("lost ", l.Upstream.ID, l.Parts))
+}
+
+func (q *fakeQuarantine) RecordBegun(parts []uint64) { q.add(fmt.Sprint("begun ", parts)) }
 
 func (q *fakeQuarantine) RecordComplete(uint64) { q.add("complete") }
 
@@ -55,9 +72,12 @@
 	f := forwarder.New(admitter, testCodec{}, connector.New(), dir, slog.New(slog.DiscardHandler), forwarder.WithQuarantine(q))
 	r := &recorder{}
 	route.Objective = time.Second
+	if route.Timeout == 0 {
+		route.Timeout = 20 * time.Second
+	}
 	f.Serve(context.Background(), &forwarder.Request{
-		ID: "r", Method: http.MethodPost, Target: "/", Route: &route, Pool: "p", Digest: 7,
-		Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second), LastEventID: forwarder.NoEvent,
+		ID: "r", Method: http.MethodPost, Target: "/", Route: &route, Pool: "p", Digest: testDigest, Parts: testParts,
+		Arrived: time.Now(), Deadline: time.Now().Add(route.Timeout), LastEventID: forwarder.NoEvent,
 	}, r)
 	return r
 }
@@ -92,22 +112,36 @@
 	}
 }
 
-// TestRunsAreReportedToQuarantine checks how the ends of runs are reported.
+// TestRunsAreReportedToQuarantine checks how runs and their ends are reported, and
+// that a loss names the parts only if no answer had begun.
 func TestRunsAreReportedToQuarantine(t *testing.T) {
+	const begun, suspect, innocent = "begun [11 12]", "lost a[11 12]", "lost a[]"
+	briefly := nonIdempotent
+	briefly.Timeout = 200 * time.Millisecond
+	reset, closed, wholeStream := step{action: resetConn}, step{action: closeConn}, step{bytes: streamHead + events(0, 3) + "0\r\n\r\n"}
+	wholeHead := "HTTP/1.1 200 OK\r\n" + idHeader + ": %ID\r\n" + sealed
 	tests := map[string]struct {
 		route router.Route
 		steps []step
 		want  []string
 	}{
-		"success":                 {idempotent, []step{okResponse("ok")}, []string{"complete"}},
-		"reset, then success":     {idempotent, []step{{action: resetConn}, okResponse("ok")}, []string{"lost a", "complete"}},
-		"closed, then success":    {idempotent, []step{{action: closeConn}, okResponse("ok")}, []string{"lost a", "complete"}},
-		"own error, then success": {idempotent, []step{{bytes: response(500, sealed, "x")}, okResponse("ok")}, []string{"complete"}},
-		"rejected, then success":  {idempotent, []step{{bytes: response(503, notRunHeader+": 1\r\n", "")}, okResponse("ok")}, []string{"complete"}},
-		"not found":               {idempotent, []step{{bytes: response(404, sealed, "x")}}, nil},
-		"stream":                  {resumable, []step{{bytes: streamHead + events(0, 3) + "0\r\n\r\n"}}, []string{"complete"}},
-		"stream, then resumed":    {resumable, []step{{bytes: streamHead + events(0, 1), action: closeConn}, {bytes: streamHead + events(2, 3) + "0\r\n\r\n"}}, []string{"lost a", "complete"}},
-		"stream without events":   {resumable, []step{{bytes: "HTTP/1.1 200 OK\r\n" + idHeader + ": %ID\r\n" + sealed + "\r\n", action: closeConn}}, nil},
+		"success":                      {idempotent, []step{okResponse("ok")}, []string{begun, "complete"}},
+		"reset, then success":          {idempotent, []step{reset, okResponse("ok")}, []string{suspect, begun, "complete"}},
+		"closed, then success":         {idempotent, []step{closed, okResponse("ok")}, []string{suspect, begun, "complete"}},
+		"own error, then success":      {idempotent, []step{{bytes: response(500, sealed, "x")}, okResponse("ok")}, []string{begun, "complete"}},
+		"rejected, then success":       {idempotent, []step{{bytes: response(503, notRunHeader+": 1\r\n", "")}, okResponse("ok")}, []string{begun, "complete"}},
+		"not found":                    {idempotent, []step{{bytes: response(404, sealed, "x")}}, nil},
+		"own error":                    {nonIdempotent, []step{{bytes: response(500, sealed, "x")}}, nil},
+		"silent until the deadline":    {briefly, []step{{action: stopServing}}, []string{innocent}},
+		"closed after the head":        {nonIdempotent, []step{{bytes: wholeHead + "Content-Length: 50\r\n\r\n", action: closeConn}}, []string{innocent}},
+		"reset inside the body":        {nonIdempotent, []step{{bytes: wholeHead + "Content-Length: 50\r\n\r\nhalf", action: resetConn}}, []string{innocent}},
+		"no response at all":           {nonIdempotent, []step{{bytes: "\x00\r\n\r\n", action: closeConn}}, []string{innocent}},
+		"stream":                       {resumable, []step{wholeStream}, []string{begun, "complete"}},
+		"stream, then resumed":         {resumable, []step{{bytes: streamHead + events(0, 1), action: closeConn}, {bytes: streamHead + events(2, 3) + "0\r\n\r\n"}}, []string{begun, innocent, begun, "complete"}},
+		"stream without events":        {resumable, []step{{bytes: "HTTP/1.1 200 OK\r\n" + idHeader + ": %ID\r\n" + sealed + "\r\n", action: closeConn}}, nil},
+		"stream closed before events":  {resumable, []step{{bytes: streamHead, action: closeConn}, wholeStream}, []string{suspect, begun, "complete"}},
+		"stream reset before the head": {resumable, []step{reset, wholeStream}, []string{suspect, begun, "complete"}},
+		"stream reset in first event":  {resumable, []step{{bytes: streamHead + chunk("id: 0\nda"), action: resetConn}, wholeStream}, []string{suspect, begun, "complete"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/foxtaild/forwarder/stream.go
+++ b/foxtaild/forwarder/stream.go
@@ -81,6 +81,7 @@
 		now := time.Now()
 		if first.IsZero() {
 			first = now
+			a.quarantine.RecordBegun(a.r.Parts)
 			a.finish.FirstToken = first.Sub(a.start)
 			a.grant.ReportFirstEvent(a.finish.FirstToken)
 		}
--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -120,7 +120,7 @@
 		if w.phase == awaitingEnd {
 			return errNoEnd
 		}
-		if w.mayTakeOver() && !w.quarantine.Refuses(w.r.Digest) {
+		if w.mayTakeOver() && !w.quarantine.Refuses(w.r.Digest, w.r.Parts) {
 			w.startSearch()
 		}
 		return nil
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -192,14 +192,28 @@
 	Admit(ctx context.Context, r coordinator.Request) (Grant, error)
 }
 
-// Quarantine keeps track of requests that crash upstreams. It is safe for
-// concurrent use.
+// Loss is a run whose connection was lost, or to which no response arrived in time.
+type Loss struct {
+	Digest uint64
+	// Parts are the parts of the request's prompt that may have crashed the
+	// upstream: none if an answer to the request had begun, or if the connection
+	// was not ended by the other side.
+	Parts    []uint64
+	Upstream registrar.Entry
+	// Sent is when the request was sent.
+	Sent time.Time
+}
+
+// Quarantine keeps track of requests that crash upstreams, and of parts of prompts
+// that do. It is safe for concurrent use.
 type Quarantine interface {
-	// Refuses reports whether requests with a digest must not run.
-	Refuses(digest uint64) bool
-	// RecordLoss records that a request was sent to an upstream and that its
-	// connection was lost, or that no response arrived in time.
-	RecordLoss(digest uint64, upstream registrar.Entry, sent time.Time)
+	// Refuses reports whether requests with a digest and parts must not run.
+	Refuses(digest uint64, parts []uint64) bool
+	// RecordLoss records that a run was lost.
+	RecordLoss(l Loss)
+	// RecordBegun records that an upstream has begun to answer a request with some
+	// parts: with the first event of a stream or with a whole response.
+	RecordBegun(parts []uint64)
 	// RecordComplete records that an upstream has run a request with success.
 	RecordComplete(digest uint64)
 }
@@ -207,6 +221,7 @@
 // noQuarantine refuses nothing.
 type noQuarantine struct{}
 
-func (noQuarantine) Refuses(uint64) bool                           { return false }
-func (noQuarantine) RecordLoss(uint64, registrar.Entry, time.Time) {}
-func (noQuarantine) RecordComplete(uint64)                         {}
+func (noQuarantine) Refuses(uint64, []uint64) bool { return false }
+func (noQuarantine) RecordLoss(Loss)               {}
+func (noQuarantine) RecordBegun([]uint64)          {}
+func (noQuarantine) RecordComplete(uint64)         {}
--- a/foxtaild/inspector/inspector_test.go
+++ b/foxtaild/inspector/inspector_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"foxtaillug.org/foxtaild/forwarder"
 	"foxtaillug.org/foxtaild/inspector"
 	"foxtaillug.org/scheduler/registrar"
 )
@@ -44,14 +45,25 @@
 	return -1
 }
 
+// newLoss returns the loss of a run that was sent just now.
+func newLoss(digest uint64, e registrar.Entry, parts ...uint64) forwarder.Loss {
+	return forwarder.Loss{Digest: digest, Parts: parts, Upstream: e, Sent: time.Now()}
+}
+
 // loseConnection records a loss and waits for the result of the health check.
 func loseConnection(t *testing.T, i *inspector.Inspector, e registrar.Entry, result string) {
+	t.Helper()
+	lose(t, i, newLoss(digest, e), result)
+}
+
+// lose records a loss and waits for the result of the health check.
+func lose(t *testing.T, i *inspector.Inspector, l forwarder.Loss, result string) {
 	t.Helper()
 	before := gauge(i, "upstream_checks", result)
-	i.RecordLoss(digest, e, time.Now())
+	i.RecordLoss(l)
 	for until := time.Now().Add(testTimeout); gauge(i, "upstream_checks", result) == before; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
-			t.Fatalf("no health check found %s %s", e.ID, result)
+			t.Fatalf("no health check found %s %s", l.Upstream.ID, result)
 		}
 	}
 }
@@ -106,14 +118,14 @@
 		t.Run(name, func(t *testing.T) {
 			i := startInspector(t, "/health")
 			for n, id := range []string{"one", "two", "three"} {
-				if i.Refuses(digest) {
+				if i.Refuses(digest, nil) {
 					if n < 2 {
 						t.Errorf("refused after %d crashes, want 2", n)
 					}
 					return
 				}
 				loseConnection(t, i, upstream(id), "dead")
-				for until := time.Now().Add(testTimeout); gauge(i, "crash_digests", "") == 0 || n == 1 && !i.Refuses(digest); time.Sleep(time.Millisecond) {
+				for until := time.Now().Add(testTimeout); gauge(i, "crash_digests", "") == 0 || n == 1 && !i.Refuses(digest, nil); time.Sleep(time.Millisecond) {
 					if time.Now().After(until) {
 						t.Fatalf("crash %d was not recorded", n)
 					}
@@ -151,7 +163,7 @@
 			upstreams := []registrar.Entry{acceptingUpstream(t, "one", tt.handle), acceptingUpstream(t, "two", tt.handle), acceptingUpstream(t, "three", tt.handle)}
 			for n := range 20 {
 				loseConnection(t, i, upstreams[n%len(upstreams)], "alive")
-				if i.Refuses(digest) {
+				if i.Refuses(digest, nil) {
 					t.Fatalf("refused after %d lost connections", n+1)
 				}
 			}
@@ -170,10 +182,10 @@
 	for _, id := range []string{"one", "two", "three"} {
 		e := deadUpstream(t, id)
 		loseConnection(t, i, e, "dead")
-		i.RecordLoss(other, e, time.Now())
+		i.RecordLoss(newLoss(other, e))
 	}
 	loseConnection(t, i, deadUpstream(t, "last"), "dead")
-	if i.Refuses(other) {
+	if i.Refuses(other, nil) {
 		t.Error("request sent to dead upstreams is refused")
 	}
 }
@@ -186,7 +198,7 @@
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	i := startInspector(t, "/health?deep=1")
-	i.RecordLoss(digest, registrar.Entry{ID: "one", Address: l.Addr().String()}, time.Now())
+	i.RecordLoss(newLoss(digest, registrar.Entry{ID: "one", Address: l.Addr().String()}))
 	r := <-received
 	if got := r.Method + " " + r.RequestURI; got != "GET /health?deep=1" {
 		t.Errorf("upstream received %q", got)
--- a/foxtaild/inspector/run.go
+++ b/foxtaild/inspector/run.go
@@ -64,13 +64,13 @@
 // addLoss adds a loss to the inspection of its upstream and queues a check if none
 // is queued or running.
 func (r *runner) addLoss(l loss) {
-	id := processID(l.upstream)
+	id := processID(l.Upstream)
 	n := r.inspections[id]
 	if n == nil {
-		n = &inspection{upstream: l.upstream}
+		n = &inspection{upstream: l.Upstream}
 		r.inspections[id] = n
 	}
-	if n.isDead(l.sent) {
+	if n.isDead(l.Sent) {
 		return
 	}
 	n.waiting = append(n.waiting, l)
@@ -109,7 +109,7 @@
 	later := n.waiting
 	n.waiting = nil
 	for _, l := range later {
-		if o.result == dead && l.sent.Before(n.deadAt) {
+		if o.result == dead && l.Sent.Before(n.deadAt) {
 			r.recordCrash(l)
 			continue
 		}
--- a/foxtaild/linker/bench_test.go
+++ b/foxtaild/linker/bench_test.go
@@ -49,23 +49,27 @@
 }
 
 // BenchmarkCrashReportBytes reports the size of a crash report in a membership
-// message, and of the hash of the digests that the sender refuses.
+// message, also of one on a known part, and of the hash of the digests that the sender refuses.
 func BenchmarkCrashReportBytes(b *testing.B) {
 	size := func(m quarantiner.Message) int {
-		data, err := cbor.Marshal(gossipMessage{Crashes: &m})
+		data, err := cbor.Marshal(gossipMessage{crashMessage: crashMessage{Requests: &m}})
 		if err != nil {
 			b.Fatal(err)
 		}
 		return len(data)
 	}
 	report := quarantiner.Report{Digest: 0x1234567890abcdef, Upstream: 0xfedcba0987654321, AgeMs: 90_000, RanMs: 400, Crashes: 1}
+	known := report
+	known.Known = true
 	none := size(quarantiner.Message{})
-	var hash, one int
+	var hash, one, oneKnown int
 	for b.Loop() {
 		hash = size(quarantiner.Message{Confirmed: 0x1234567890abcdef})
 		one = size(quarantiner.Message{Reports: []quarantiner.Report{report, report}}) - size(quarantiner.Message{Reports: []quarantiner.Report{report}})
+		oneKnown = size(quarantiner.Message{Reports: []quarantiner.Report{report, known}}) - size(quarantiner.Message{Reports: []quarantiner.Report{report}})
 	}
 	b.ReportMetric(float64(one), "B/report")
+	b.ReportMetric(float64(oneKnown), "B/knownReport")
 	b.ReportMetric(float64(hash-none), "B/hash")
 }
 
--- a/foxtaild/linker/crash_part_test.go
+++ b/foxtaild/linker/crash_part_test.go
@@ -53,22 +53,27 @@
 			f := newCrashFleet(t, accepting, 24, "a")
 			f.startFleet("a", 3)
 			digest := uint64(100)
+			sent, served, refused, runs := 0, 0, 0, 0
 			sound := func(h *host) {
 				digest++
-				if r := f.send(h, "/sound", digest, callerPart); isQuarantined(r) {
+				r := f.send(h, "/sound", digest, callerPart)
+				if isQuarantined(r) {
 					t.Fatalf("sound request was refused: %+v", r)
 				}
+				sent++
+				if r == nil {
+					served++
+				}
 			}
 			for _, h := range f.hosts {
 				sound(h)
 			}
-			refused := 0
 			for n := 0; refused < 2*len(f.hosts); n++ {
 				h := f.hosts[n%len(f.hosts)]
 				digest++
 				refusal := f.send(h, crashPath, digest, callerPart, crashPart)
 				f.mu.Lock()
-				runs := f.runs
+				runs = f.runs
 				f.mu.Unlock()
 				if runs > maxCrashPartRuns {
 					t.Fatalf("requests with the part reached upstreams %d times, want at most %d", runs, maxCrashPartRuns)
@@ -85,6 +90,10 @@
 				time.Sleep(crashPause)
 				sound(f.hosts[(n+1)%len(f.hosts)])
 			}
+			t.Logf("%d requests with the part reached upstreams, %d of %d sound requests were served", runs, served, sent)
+			if 2*served < sent {
+				t.Errorf("%d of %d sound requests were served, want at least half", served, sent)
+			}
 		})
 	}
 }
--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -19,9 +19,9 @@
 	gossipTick = 60 * time.Millisecond
 	// gossipQueue bounds the queue of received messages; others are dropped.
 	gossipQueue = 256
-	// maxReportsPerMessage is the maximum number of crash reports in a message.
-	// maxReportBytes is the size of the largest one and maxReportsHeaderBytes that
-	// of what precedes them.
+	// maxReportsPerMessage is the maximum number of crash reports of both kinds in a
+	// message. maxReportBytes is the size of the largest one and
+	// maxReportsHeaderBytes that of what precedes those of one kind.
 	maxReportsPerMessage  = 24
 	maxReportBytes        = 40
 	maxReportsHeaderBytes = 24
@@ -31,8 +31,8 @@
 	pushInterval = 200 * time.Millisecond
 )
 
-// CrashReports are a host's reports of requests that crash upstreams, which hosts
-// exchange with membership messages.
+// CrashReports are a host's reports of requests, or of parts of prompts, that crash
+// upstreams, which hosts exchange with membership messages.
 type CrashReports interface {
 	// Message returns at most n reports for any host, and Response those in
 	// response to a message from another host.
@@ -55,10 +55,17 @@
 func (noCrashReports) Receive(quarantiner.Message) {}
 func (noCrashReports) Changed() <-chan struct{}    { return nil }
 
+// crashMessage holds the crash reports on requests and on parts of prompts that a
+// membership message carries.
+type crashMessage struct {
+	Requests *quarantiner.Message `cbor:"7,keyasint,omitempty"`
+	Parts    *quarantiner.Message `cbor:"8,keyasint,omitempty"`
+}
+
 // gossipMessage is a membership message with the crash reports that it carries.
 type gossipMessage struct {
 	detector.Message
-	Crashes *quarantiner.Message `cbor:"7,keyasint,omitempty"`
+	crashMessage
 }
 
 // datagram is a received message with its sender's address.
@@ -111,13 +118,15 @@
 			l.receive(d)
 		case <-leaving:
 			leaving = nil
-			l.sendPackets(l.detector.Leave(time.Now()), nil)
+			l.sendPackets(l.detector.Leave(time.Now()), crashMessage{})
 		case <-l.crashes.Changed():
 			push = true
+		case <-l.partCrashes.Changed():
+			push = true
 		case now := <-tick.C:
 			if push && now.Sub(pushedAt) >= pushInterval {
 				push, pushedAt = false, now
-				l.sendPackets(l.detector.PingRandom(pushTargets, now), nil)
+				l.sendPackets(l.detector.PingRandom(pushTargets, now), crashMessage{})
 			}
 			version := uint64(0)
 			if t := l.directory.Table(); t != nil {
@@ -125,7 +134,7 @@
 			}
 			at := l.directory.Position()
 			l.detector.Announce(version, at.Era, at.Revision)
-			l.sendPackets(l.detector.Tick(time.Now()), nil)
+			l.sendPackets(l.detector.Tick(time.Now()), crashMessage{})
 		}
 		l.updateView(time.Now())
 	}
@@ -133,16 +142,20 @@
 
 // receive processes a received message and responds to it.
 func (l *Linker) receive(d datagram) {
-	if d.message.Crashes != nil {
-		l.crashes.Receive(*d.message.Crashes)
+	received := d.message.crashMessage
+	if received.Requests != nil {
+		l.crashes.Receive(*received.Requests)
+	}
+	if received.Parts != nil {
+		l.partCrashes.Receive(*received.Parts)
 	}
-	l.sendPackets(l.detector.Receive(d.from, d.message.Message, time.Now()), d.message.Crashes)
+	l.sendPackets(l.detector.Receive(d.from, d.message.Message, time.Now()), received)
 }
 
 // sendPackets sends membership messages, in response to the crash reports of
-// another host if received is not nil. A message that can't be sent counts as lost;
-// the protocol tolerates that.
-func (l *Linker) sendPackets(packets []detector.Packet, received *quarantiner.Message) {
+// another host if it sent any. A message that can't be sent counts as lost; the
+// protocol tolerates that.
+func (l *Linker) sendPackets(packets []detector.Packet, received crashMessage) {
 	for _, p := range packets {
 		to, err := net.ResolveUDPAddr("udp4", p.To)
 		if err != nil {
@@ -161,29 +174,41 @@
 }
 
 // encodeGossip encodes a membership message with as many crash reports as there is
-// room for.
-func (l *Linker) encodeGossip(m detector.Message, received *quarantiner.Message) (b []byte, err error) {
+// room for. Those on parts of prompts take half of it at most and leave the rest to
+// those on requests.
+func (l *Linker) encodeGossip(m detector.Message, received crashMessage) (b []byte, err error) {
 	b, err = cbor.Marshal(m)
-	room := (maxDatagramBytes - maxReportsHeaderBytes - len(b)) / maxReportBytes
+	room := (maxDatagramBytes - 2*maxReportsHeaderBytes - len(b)) / maxReportBytes
 	if err != nil || room < 0 || m.Kind == detector.PingRequest || m.From.ID != l.settings.Host {
 		return b, err
 	}
-	c := l.crashMessage(m.Kind, received, min(room, maxReportsPerMessage))
-	if c.Confirmed == 0 && len(c.Reports) == 0 {
+	room = min(room, maxReportsPerMessage)
+	parts := reportsFor(l.partCrashes, m.Kind, received.Parts, room/2)
+	requests := reportsFor(l.crashes, m.Kind, received.Requests, room-len(parts.Reports))
+	c := crashMessage{Requests: nonEmpty(requests), Parts: nonEmpty(parts)}
+	if c == (crashMessage{}) {
 		return b, nil
 	}
-	return cbor.Marshal(gossipMessage{Message: m, Crashes: &c})
+	return cbor.Marshal(gossipMessage{Message: m, crashMessage: c})
 }
 
-// crashMessage returns at most n crash reports for a ping, or for an ack in response
-// to a ping, which may have carried reports.
-func (l *Linker) crashMessage(kind detector.Kind, received *quarantiner.Message, n int) quarantiner.Message {
+// reportsFor returns at most n crash reports for a ping, or for an ack in response to
+// a ping, which may have carried reports.
+func reportsFor(c CrashReports, kind detector.Kind, received *quarantiner.Message, n int) quarantiner.Message {
 	switch {
 	case kind == detector.Ping:
-		return l.crashes.Message(n)
+		return c.Message(n)
 	case received == nil:
-		return l.crashes.Response(quarantiner.Message{}, n)
+		return c.Response(quarantiner.Message{}, n)
 	default:
-		return l.crashes.Response(*received, n)
+		return c.Response(*received, n)
+	}
+}
+
+// nonEmpty returns nil for a message that says nothing.
+func nonEmpty(m quarantiner.Message) *quarantiner.Message {
+	if m.Confirmed == 0 && len(m.Reports) == 0 {
+		return nil
 	}
+	return &m
 }
--- a/foxtaild/linker/gossip_test.go
+++ b/foxtaild/linker/gossip_test.go
@@ -29,45 +29,142 @@
 	for i := range detector.MaxMembersPerMessage {
 		m.Members = append(m.Members, member(1000+i))
 	}
-	l := Linker{settings: Settings{Host: m.From.ID}, crashes: maxReports{}}
-	for range detector.MaxMembersPerMessage {
-		b, err := l.encodeGossip(m, nil)
-		if err != nil {
-			t.Fatal(err)
+	tests := map[string]struct{ requests, parts CrashReports }{
+		"requests": {maxReports{}, noCrashReports{}},
+		"parts":    {noCrashReports{}, maxReports{}},
+		"both":     {maxReports{}, maxReports{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := Linker{settings: Settings{Host: m.From.ID}, crashes: tt.requests, partCrashes: tt.parts}
+			m := m
+			for range detector.MaxMembersPerMessage {
+				b, err := l.encodeGossip(m, crashMessage{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(b) > maxDatagramBytes {
+					t.Errorf("message with %d members takes %d bytes, want at most %d", len(m.Members), len(b), maxDatagramBytes)
+				}
+				m.Members = m.Members[1:]
+			}
+		})
+	}
+}
+
+// TestNeitherKindOfReportDisplacesTheOther encodes messages while there are more
+// reports than there is room for.
+func TestNeitherKindOfReportDisplacesTheOther(t *testing.T) {
+	tests := map[string]struct {
+		requests, parts         CrashReports
+		wantRequests, wantParts int
+	}{
+		"none":     {noCrashReports{}, noCrashReports{}, 0, 0},
+		"requests": {maxReports{}, noCrashReports{}, maxReportsPerMessage, 0},
+		"parts":    {noCrashReports{}, maxReports{}, 0, maxReportsPerMessage / 2},
+		"both":     {maxReports{}, maxReports{}, maxReportsPerMessage / 2, maxReportsPerMessage / 2},
+	}
+	count := func(m *quarantiner.Message) int {
+		if m == nil {
+			return 0
 		}
-		if len(b) > maxDatagramBytes {
-			t.Errorf("message with %d members takes %d bytes, want at most %d", len(m.Members), len(b), maxDatagramBytes)
+		return len(m.Reports)
+	}
+	for name, tt := range tests {
+		for _, kind := range []detector.Kind{detector.Ping, detector.Ack} {
+			t.Run(fmt.Sprint(name, " ", kind), func(t *testing.T) {
+				l := Linker{settings: Settings{Host: "h"}, crashes: tt.requests, partCrashes: tt.parts}
+				b, err := l.encodeGossip(detector.Message{Kind: kind, From: detector.Member{ID: "h"}}, crashMessage{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				var m gossipMessage
+				if err := cbor.Unmarshal(b, &m); err != nil {
+					t.Fatal(err)
+				}
+				if r, p := count(m.Requests), count(m.Parts); r != tt.wantRequests || p != tt.wantParts {
+					t.Errorf("%d reports on requests and %d on parts, want %d and %d", r, p, tt.wantRequests, tt.wantParts)
+				}
+			})
 		}
-		m.Members = m.Members[1:]
 	}
 }
 
 // maxReports are crash reports without end, each as large as possible.
 type maxReports struct{ noCrashReports }
 
+func (m maxReports) Message(n int) quarantiner.Message {
+	return m.Response(quarantiner.Message{}, n)
+}
+
 func (maxReports) Response(_ quarantiner.Message, n int) quarantiner.Message {
 	return quarantiner.Message{Confirmed: math.MaxUint64, Reports: slices.Repeat([]quarantiner.Report{{
-		Digest: math.MaxUint64, Upstream: math.MaxUint64, AgeMs: math.MaxUint32, RanMs: math.MaxUint32, Crashes: math.MaxUint8, Cleared: true,
+		Digest: math.MaxUint64, Upstream: math.MaxUint64, AgeMs: math.MaxUint32, RanMs: math.MaxUint32, Crashes: math.MaxUint8, Cleared: true, Known: true,
 	}}, n)}
 }
 
-// TestBuildsWithoutCrashReportsReadMessages decodes a message as a host of an older
-// build does, and one of such a host as this build does.
-func TestBuildsWithoutCrashReportsReadMessages(t *testing.T) {
+// TestOlderBuildsReadMessages decodes a message as hosts of older builds do, and
+// messages of such hosts as this build does.
+func TestOlderBuildsReadMessages(t *testing.T) {
+	// requestsOnly is the message of the builds that have no reports on parts.
+	type requestsOnly struct {
+		detector.Message
+		Crashes *quarantiner.Message `cbor:"7,keyasint,omitempty"`
+	}
 	sent := detector.Message{Kind: detector.Ack, Seq: 7, From: detector.Member{ID: "h", Incarnation: 3}, Members: []detector.Member{{ID: "m"}}, OldestDigest: 5}
-	b, err := cbor.Marshal(gossipMessage{Message: sent, Crashes: &quarantiner.Message{Confirmed: 1}})
-	if err != nil {
-		t.Fatal(err)
+	requests := &quarantiner.Message{Confirmed: 1, Reports: []quarantiner.Report{{Digest: 2, Upstream: 3, AgeMs: 4, RanMs: 5, Crashes: 1}}}
+	parts := &quarantiner.Message{Confirmed: 6, Reports: []quarantiner.Report{{Digest: 7, Upstream: 8, AgeMs: 9, RanMs: 10, Crashes: 2, Known: true}}}
+	now := gossipMessage{Message: sent, crashMessage: crashMessage{Requests: requests, Parts: parts}}
+	tests := map[string]struct{ message, read, want any }{
+		"read by a build without reports":          {now, &detector.Message{}, &sent},
+		"read by a build without reports on parts": {now, &requestsOnly{}, &requestsOnly{Message: sent, Crashes: requests}},
+		"read by this build":                       {now, &gossipMessage{}, &now},
+		"of a build without reports":               {sent, &gossipMessage{}, &gossipMessage{Message: sent}},
+		"of a build without reports on parts":      {requestsOnly{Message: sent, Crashes: requests}, &gossipMessage{}, &gossipMessage{Message: sent, crashMessage: crashMessage{Requests: requests}}},
 	}
-	var older detector.Message
-	if err := cbor.Unmarshal(b, &older); err != nil || !reflect.DeepEqual(older, sent) {
-		t.Errorf("older build reads %+v, %v", older, err)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, err := cbor.Marshal(tt.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := cbor.Unmarshal(b, tt.read); err != nil || !reflect.DeepEqual(tt.read, tt.want) {
+				t.Errorf("read %+v, %v; want %+v", tt.read, err, tt.want)
+			}
+		})
 	}
-	if b, err = cbor.Marshal(sent); err != nil {
-		t.Fatal(err)
+}
+
+// receivedReports records the messages that it receives.
+type receivedReports struct {
+	noCrashReports
+	messages []quarantiner.Message
+}
+
+func (r *receivedReports) Receive(m quarantiner.Message) { r.messages = append(r.messages, m) }
+
+// TestReceivedReportsReachTheirKind receives messages with reports of either kind, and
+// one of a build that has no reports on parts.
+func TestReceivedReportsReachTheirKind(t *testing.T) {
+	one, two := quarantiner.Message{Confirmed: 1}, quarantiner.Message{Confirmed: 2}
+	tests := map[string]struct {
+		message                 crashMessage
+		wantRequests, wantParts []quarantiner.Message
+	}{
+		"none":                        {crashMessage{}, nil, nil},
+		"requests, of an older build": {crashMessage{Requests: &one}, []quarantiner.Message{one}, nil},
+		"parts":                       {crashMessage{Parts: &two}, nil, []quarantiner.Message{two}},
+		"both":                        {crashMessage{Requests: &one, Parts: &two}, []quarantiner.Message{one}, []quarantiner.Message{two}},
 	}
-	var newer gossipMessage
-	if err := cbor.Unmarshal(b, &newer); err != nil || !reflect.DeepEqual(newer, gossipMessage{Message: sent}) {
-		t.Errorf("this build reads %+v, %v", newer, err)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var requests, parts receivedReports
+			l := Linker{crashes: &requests, partCrashes: &parts, detector: detector.New(detector.Member{ID: "h"}, nil, 1)}
+			from := detector.Member{ID: "other", Address: "127.0.0.1:1", Incarnation: 1}
+			l.receive(datagram{from: from.Address, message: gossipMessage{Message: detector.Message{Kind: detector.Ack, From: from}, crashMessage: tt.message}})
+			if !reflect.DeepEqual(requests.messages, tt.wantRequests) || !reflect.DeepEqual(parts.messages, tt.wantParts) {
+				t.Errorf("received %v and %v, want %v and %v", requests.messages, parts.messages, tt.wantRequests, tt.wantParts)
+			}
+		})
 	}
 }
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -42,10 +42,12 @@
 	log       *slog.Logger
 	loop      *loop
 	detector  *detector.Detector
-	crashes   CrashReports
-	udpConn   *net.UDPConn
-	listener  net.Listener
-	view      atomic.Pointer[view]
+	// crashes are the crash reports on whole requests and partCrashes those on parts
+	// of prompts.
+	crashes, partCrashes CrashReports
+	udpConn              *net.UDPConn
+	listener             net.Listener
+	view                 atomic.Pointer[view]
 	// seenChanges is the detector's number of changes when the view was
 	// derived, viewedAt is when that was, and wasSettled reports whether this
 	// host was settled then. appliedFleet is what was last passed to the
@@ -78,9 +80,10 @@
 // Option configures a Linker.
 type Option func(*Linker)
 
-// WithCrashReports sets the crash reports to exchange with other hosts.
-func WithCrashReports(c CrashReports) Option {
-	return func(l *Linker) { l.crashes = c }
+// WithCrashReports sets the crash reports on whole requests and on parts of prompts
+// to exchange with other hosts.
+func WithCrashReports(requests, parts CrashReports) Option {
+	return func(l *Linker) { l.crashes, l.partCrashes = requests, parts }
 }
 
 // New opens the sockets of a host. The caller must call Run.
@@ -112,6 +115,7 @@
 		followers:    make(map[*follower]struct{}),
 		started:      now,
 		crashes:      noCrashReports{},
+		partCrashes:  noCrashReports{},
 	}
 	for _, opt := range opts {
 		opt(l)
--- a/foxtaild/linker/linker_test.go
+++ b/foxtaild/linker/linker_test.go
@@ -67,7 +67,7 @@
 		Regions:        map[string]string{domain: "r"},
 		UpdateDeadline: 2500 * time.Millisecond,
 		Bounds:         coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second},
-	}, dir, log, linker.WithCrashReports(ins))
+	}, dir, log, linker.WithCrashReports(ins.Requests(), ins.Parts()))
 	if err != nil {
 		t.Fatal(err)
 	}
