inspector: the test of a cleared part sees that other hosts are told

TestBegunAnswerClearsPart passed while a clearing was not sent at once, because the channel still held the notice of the crash before. It takes that notice first now.

--- a/foxtaild/inspector/parts_test.go
+++ b/foxtaild/inspector/parts_test.go
@@ -95,6 +95,7 @@
 		losePart(t, i, n, part)
 	}
 	eventually(t, "requests with the part are refused", func() bool { return i.Refuses(1, []uint64{part}) })
+	<-i.Parts().Changed()
 	i.RecordBegun([]uint64{part})
 	if i.Refuses(1, []uint64{part}) {
 		t.Error("part is refused although an answer has begun on it")
