--- a/foxtaild/inspector/inspector.go
+++ b/foxtaild/inspector/inspector.go
@@ -90,7 +90,7 @@
 
 // Refuses reports whether requests with a digest and parts must not run.
 func (i *Inspector) Refuses(digest uint64, parts []uint64) bool {
-	return i.requests.refuse(digest) || i.parts.refuse(parts...)
+	return i.requests.refuses(digest) || i.parts.refuses(parts...)
 }
 
 // RecordLoss records that the connection of a request was lost or that no response
--- a/foxtaild/inspector/reports.go
+++ b/foxtaild/inspector/reports.go
@@ -33,9 +33,9 @@
 	return &Reports{log: log, logKey: logKey, gaugeName: gaugeName, changed: make(chan struct{}, 1), reports: quarantiner.New(opts...)}
 }
 
-// refuse reports whether requests with any of some digests must not run. The digest
+// refuses reports whether requests with any of some digests must not run. The digest
 // 0 means none.
-func (r *Reports) refuse(digests ...uint64) bool {
+func (r *Reports) refuses(digests ...uint64) bool {
 	if len(digests) == 0 || r.confirmed.Load() == 0 {
 		return false
 	}
