acceptor: keep no copy of the server's read deadline; stricter tests

The server sets no read timeouts, and a read of an expired connection fails before it reads, so the copy of the deadline did nothing that a test could see.

--- a/foxtaild/acceptor/acceptor.go
+++ b/foxtaild/acceptor/acceptor.go
@@ -3,8 +3,8 @@
 // that take too long to send a request's header. Both limits may change while
 // connections are open, which the timeouts of http.Server can't.
 //
-// A server sets ConnState to Track, serves the listener that Wrap returns, and
-// calls Sweep periodically.
+// A server sets ConnState to Track and no read timeouts, serves the listener that
+// Wrap returns, and calls Sweep periodically.
 package acceptor
 
 import (
@@ -66,8 +66,6 @@
 	// first byte of the next header arrived, or zero before that. Both have a
 	// monotonic clock reading, which steps of the wall clock don't affect.
 	since, headerSince time.Time
-	// deadline is the read deadline that the server has set.
-	deadline time.Time
 }
 
 // Read reads from the connection and records when the first byte of a header
@@ -144,18 +142,6 @@
 	}
 }
 
-// SetReadDeadline sets the read deadline. The deadline of an expired connection
-// stays in the past.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = t
-	if c.expired {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
 // expire makes reads fail from now on. The caller must hold the mutex.
 func (c *conn) expire() {
 	c.expired = true
@@ -166,7 +152,7 @@
 func (c *conn) keep() {
 	if c.expired && !c.ended {
 		c.expired = false
-		_ = c.Conn.SetReadDeadline(c.deadline)
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
--- a/foxtaild/acceptor/reject_test.go
+++ b/foxtaild/acceptor/reject_test.go
@@ -77,8 +77,11 @@
 	expired     chan struct{}
 	expire      sync.Once
 
-	// calls are the calls in order, without reads of parts and read deadlines.
+	// calls are the calls in order, without reads of parts and read deadlines in
+	// the future.
 	calls []string
+	// onRead is called by the reads of the rest.
+	onRead func()
 }
 
 func (c *scriptedConn) Read(b []byte) (n int, err error) {
@@ -96,6 +99,7 @@
 	}
 	n, c.rest = copy(b, c.rest[0]), c.rest[1:]
 	c.calls = append(c.calls, "read")
+	c.onRead()
 	return n, nil
 }
 
@@ -113,6 +117,9 @@
 func (c *scriptedConn) SetReadDeadline(t time.Time) error {
 	if !t.IsZero() && t.Before(time.Now()) {
 		c.expire.Do(func() { close(c.expired) })
+		if len(c.calls) > 0 {
+			c.calls = append(c.calls, "end of reading")
+		}
 	}
 	return nil
 }
@@ -145,6 +152,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	raw.onRead = func() { a.Sweep(time.Now().Add(time.Hour)) }
 	b := make([]byte, 100)
 	if n, err := c.Read(b); n == 0 || err != nil {
 		t.Fatalf("read %d bytes with error %v, want the first part", n, err)
--- a/foxtaild/acceptor/sweep_test.go
+++ b/foxtaild/acceptor/sweep_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -64,8 +65,9 @@
 	reader   *bufio.Reader
 	// served counts the requests that the handler has received.
 	served atomic.Int32
-	// handle is called by the handler if it is not nil.
-	handle func()
+	// handling receives a value when the handler is called, which returns when
+	// it receives a value from handled; both are nil if the handler does not wait.
+	handling, handled chan struct{}
 }
 
 // newServer starts a server. onState is called after Track if it is not nil.
@@ -77,11 +79,13 @@
 	}
 	s := &server{gate: newGate(l), acceptor: acceptor.New(func() acceptor.Limits { return limits })}
 	s.Server = &http.Server{
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			s.served.Add(1)
-			if s.handle != nil {
-				s.handle()
+			if s.handled != nil {
+				s.handling <- struct{}{}
+				<-s.handled
 			}
+			_, _ = io.Copy(io.Discard, r.Body)
 		}),
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.acceptor.Track(c, state)
@@ -111,6 +115,11 @@
 	}
 }
 
+// hold makes the handler wait for a value from handled.
+func (s *server) hold() {
+	s.handling, s.handled = make(chan struct{}, readsBound), make(chan struct{}, readsBound)
+}
+
 // receive returns the next response's status.
 func (s *server) receive(t *testing.T) int {
 	t.Helper()
@@ -135,14 +144,18 @@
 	return v
 }
 
-// TestRequestThatHasBegunIsNotClosedAsIdle sweeps a connection after its idle
-// timeout at different moments of the start of a request.
+// TestRequestThatHasBegunIsNotClosedAsIdle sweeps a connection after its timeout at
+// different moments of a request.
 func TestRequestThatHasBegunIsNotClosedAsIdle(t *testing.T) {
 	limits := acceptor.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: time.Hour}
 	sweep := func(s *server) { s.acceptor.Sweep(time.Now().Add(2 * limits.IdleTimeout)) }
-	sweepWhenIdle := func(s *server, state http.ConnState) {
-		if state == http.StateIdle {
-			sweep(s)
+	sweepHeaders := func(s *server) { s.acceptor.Sweep(time.Now().Add(2 * limits.HeaderTimeout)) }
+	sweepWhenFirstIdle := func() func(*server, http.ConnState) {
+		var once sync.Once
+		return func(s *server, state http.ConnState) {
+			if state == http.StateIdle {
+				once.Do(func() { sweep(s) })
+			}
 		}
 	}
 	tests := map[string]struct {
@@ -157,6 +170,34 @@
 			sweep(s)
 			s.gate.release <- struct{}{}
 		}, 1},
+		"before the read of a part returns": {nil, func(t *testing.T, s *server) {
+			s.send(t, firstRequest[:10])
+			wait(t, s.gate.arrived)
+			sweep(s)
+			s.gate.release <- struct{}{}
+			s.gate.release <- struct{}{}
+			s.send(t, firstRequest[10:])
+		}, 1},
+		"while its body is read": {nil, func(t *testing.T, s *server) {
+			s.send(t, "POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+			wait(t, s.gate.arrived)
+			s.gate.release <- struct{}{}
+			wait(t, s.gate.entered)
+			wait(t, s.gate.entered)
+			sweepHeaders(s)
+			s.gate.release <- struct{}{}
+			s.send(t, "dy")
+		}, 1},
+		"while it is served": {nil, func(t *testing.T, s *server) {
+			s.hold()
+			s.send(t, firstRequest)
+			s.gate.release <- struct{}{}
+			wait(t, s.handling)
+			wait(t, s.gate.entered)
+			wait(t, s.gate.entered)
+			sweepHeaders(s)
+			close(s.handled)
+		}, 1},
 		"after a part was read": {nil, func(t *testing.T, s *server) {
 			s.send(t, firstRequest[:10])
 			wait(t, s.gate.arrived)
@@ -167,25 +208,21 @@
 			s.gate.release <- struct{}{}
 			s.send(t, firstRequest[10:])
 		}, 1},
-		"after a byte was read during the previous request": {sweepWhenIdle, func(t *testing.T, s *server) {
-			handling, handled := make(chan struct{}, 1), make(chan struct{})
-			s.handle = func() {
-				handling <- struct{}{}
-				<-handled
-			}
+		"after a byte was read during the previous request": {sweepWhenFirstIdle(), func(t *testing.T, s *server) {
+			s.hold()
 			s.send(t, firstRequest)
 			s.gate.release <- struct{}{}
 			wait(t, s.gate.arrived)
-			wait(t, handling)
+			wait(t, s.handling)
 			s.send(t, secondRequest)
 			if n := wait(t, s.gate.arrived); n != 1 {
 				t.Fatalf("%d bytes read ahead, want 1", n)
 			}
 			s.gate.release <- struct{}{}
-			close(handled)
+			close(s.handled)
 			s.gate.release <- struct{}{}
 		}, 2},
-		"after it was read with the previous request": {sweepWhenIdle, func(t *testing.T, s *server) {
+		"after it was read with the previous request": {sweepWhenFirstIdle(), func(t *testing.T, s *server) {
 			s.gate.release <- struct{}{}
 			s.send(t, firstRequest+secondRequest)
 		}, 2},
@@ -199,10 +236,36 @@
 					t.Errorf("status %d, want 200", status)
 				}
 			}
+			// The connection is kept for a further request.
+			s.gate.release <- struct{}{}
+			s.gate.release <- struct{}{}
+			s.send(t, firstRequest)
+			if status := s.receive(t); status != http.StatusOK {
+				t.Errorf("status %d of a further request, want 200", status)
+			}
 		})
 	}
 }
 
+// TestExpiredPartOfHeaderIsNotParsed expires a connection with a part of a header
+// that was read with the previous request.
+func TestExpiredPartOfHeaderIsNotParsed(t *testing.T) {
+	limits := acceptor.Limits{IdleTimeout: time.Second, HeaderTimeout: time.Second}
+	s := newServer(t, limits, func(s *server, state http.ConnState) {
+		if state == http.StateIdle {
+			s.acceptor.Sweep(time.Now().Add(time.Minute))
+		}
+	})
+	s.gate.release <- struct{}{}
+	s.send(t, firstRequest+secondRequest[:10])
+	if status := s.receive(t); status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+	if rest, err := io.ReadAll(s.reader); len(rest) > 0 || err != nil {
+		t.Errorf("read %q and error %v after the response, want the end of the connection", rest, err)
+	}
+}
+
 func TestExpiredConnectionReturnsNoByte(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
