acceptor, platform: a planned stop drops no request that has begun

During a planned stop callers on kept and on new connections got a closed connection without a response, although the host had read a part of their request or all of it.

Cause: http.Server.Shutdown closes idle connections without regard to bytes that have been read, and a connection whose request is not yet marked as active when Shutdown begins is closed without a response. None of these requests had reached the handler, so none had been passed on.

Acceptor.Drain now goes first. A header that never ends holds the stop up until its timeout or the end of the grace period, where Shutdown cut it off at once. A new connection without a byte is closed at once, for which Shutdown waited 5 s.

--- a/foxtaild/acceptor/acceptor.go
+++ b/foxtaild/acceptor/acceptor.go
@@ -38,13 +38,18 @@
 type Acceptor struct {
 	limits func() Limits
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu        sync.Mutex
+	listeners []*listener
+	conns     map[*conn]struct{}
+	// draining reports whether Drain has been called. drained is closed when no
+	// connection is left after that.
+	draining bool
+	drained  chan struct{}
 }
 
 // New returns an acceptor that calls limits at each sweep.
 func New(limits func() Limits) *Acceptor {
-	return &Acceptor{limits: limits, conns: make(map[*conn]struct{})}
+	return &Acceptor{limits: limits, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
 }
 
 // conn is a caller's connection.
@@ -198,17 +203,37 @@
 	}
 }
 
+// drain makes reads fail if the connection is idle.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && !c.expired && c.headerSince.IsZero() {
+		c.expire()
+	}
+}
+
 // listener accepts tracked connections.
 type listener struct {
 	net.Listener
 	acceptor *Acceptor
+	// close closes the listener once, as both Drain and the server close it.
+	close func() error
 }
 
 // Wrap returns a listener whose connections are tracked.
-func (a *Acceptor) Wrap(l net.Listener) net.Listener { return listener{l, a} }
+func (a *Acceptor) Wrap(raw net.Listener) net.Listener {
+	l := &listener{Listener: raw, acceptor: a, close: sync.OnceValue(raw.Close)}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listeners = append(a.listeners, l)
+	return l
+}
+
+// Close closes the listener.
+func (l *listener) Close() error { return l.close() }
 
 // Accept waits for a connection and tracks it.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -217,6 +242,10 @@
 	c.setWaiting()
 	l.acceptor.mu.Lock()
 	defer l.acceptor.mu.Unlock()
+	if l.acceptor.draining {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
 	l.acceptor.conns[c] = struct{}{}
 	return c, nil
 }
@@ -232,11 +261,55 @@
 		c.setServing()
 	case http.StateIdle:
 		c.setWaiting()
+		if a.isDraining() {
+			c.drain()
+		}
 	case http.StateClosed, http.StateHijacked:
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.conns, c)
+		a.remove(c)
+	}
+}
+
+// isDraining reports whether Drain has been called.
+func (a *Acceptor) isDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
+
+// remove removes a connection that is closed or no longer the server's.
+func (a *Acceptor) remove(c *conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.conns[c]; !ok {
+		return
+	}
+	delete(a.conns, c)
+	if a.draining && len(a.conns) == 0 {
+		close(a.drained)
+	}
+}
+
+// Drain closes the listeners and the idle connections, and each other connection
+// when it becomes idle. The returned channel is closed when no connection is left.
+// A request that has begun is served. Shutdown of http.Server should be called
+// afterwards, as it drops requests that the server has not yet marked as active.
+func (a *Acceptor) Drain() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return a.drained
+	}
+	a.draining = true
+	for _, l := range a.listeners {
+		_ = l.Close()
+	}
+	for c := range a.conns {
+		c.drain()
+	}
+	if len(a.conns) == 0 {
+		close(a.drained)
 	}
+	return a.drained
 }
 
 // Sweep ends the connections that have exceeded a limit: their reads fail and
--- a/foxtaild/acceptor/reject_test.go
+++ b/foxtaild/acceptor/reject_test.go
@@ -138,9 +138,18 @@
 type scriptedListener struct {
 	net.Listener
 	conn net.Conn
+	// onAccept is called by Accept if it is not nil.
+	onAccept func()
 }
 
-func (l scriptedListener) Accept() (net.Conn, error) { return l.conn, nil }
+func (l scriptedListener) Accept() (net.Conn, error) {
+	if l.onAccept != nil {
+		l.onAccept()
+	}
+	return l.conn, nil
+}
+
+func (l scriptedListener) Close() error { return nil }
 
 // TestRejectionReachesSendingCaller checks that a rejection has a write deadline,
 // and that what the caller goes on to send is read: closing a connection with
--- a/foxtaild/acceptor/sweep_test.go
+++ b/foxtaild/acceptor/sweep_test.go
@@ -27,12 +27,19 @@
 	// bytes of a read, which returns after a value has been sent to release.
 	entered, release chan struct{}
 	arrived          chan int
+	// closes counts the calls of Close.
+	closes atomic.Int32
 }
 
 func newGate(l net.Listener) *gate {
 	return &gate{Listener: l, entered: make(chan struct{}, readsBound), release: make(chan struct{}, readsBound), arrived: make(chan int, readsBound)}
 }
 
+func (g *gate) Close() error {
+	g.closes.Add(1)
+	return g.Listener.Close()
+}
+
 func (g *gate) Accept() (net.Conn, error) {
 	c, err := g.Listener.Accept()
 	return gatedConn{c, g}, err
@@ -120,6 +127,20 @@
 	s.handling, s.handled = make(chan struct{}, readsBound), make(chan struct{}, readsBound)
 }
 
+// exchange sends a request, receives its response and waits until the server reads
+// for the next request.
+func (s *server) exchange(t *testing.T) {
+	t.Helper()
+	s.gate.release <- struct{}{}
+	s.send(t, firstRequest)
+	wait(t, s.gate.arrived)
+	s.receive(t)
+	// The server has read for the first request and ahead during it.
+	for range 3 {
+		wait(t, s.gate.entered)
+	}
+}
+
 // receive returns the next response's status.
 func (s *server) receive(t *testing.T) int {
 	t.Helper()
