coordinator: return what was charged for a request that was not sent

What callers would see: retries refused as overRetries although none had been sent, and a workspace served beyond its quota.

Cause: a repeat took a token of the retry budget when it was admitted, and nothing gave it back if it was refused, withdrawn or unused; the end of an unused repeat refunded its workspace's quota, which a repeat had not been charged to. A withdrawn first request was not refunded.

All three places now undo what checkLimits did, by uncharge. A repeat that an upstream has rejected stays counted, as it arrived there.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -264,14 +264,6 @@
 	}
 }
 
-// Withdraw removes a queued request whose caller has disconnected. If its grant was
-// already sent, the entry host ends it with a Finish.
-func (c *Coordinator) Withdraw(entry string, id uint64) {
-	for _, p := range c.pools {
-		p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return w.entry == entry && w.ID == id })
-	}
-}
-
 // RecordSummary processes the summary of another coordinator.
 func (c *Coordinator) RecordSummary(s Summary, now time.Time) {
 	c.peers[s.Domain] = peer{summary: s, at: now, redirected: make(map[string]int)}
@@ -340,9 +332,13 @@
 	if f.Ending == Complete || f.Ending == Failed || f.Ending == Cancelled {
 		c.pool(g.req.Pool, now).forecaster.recordHold(now.Sub(g.at))
 	}
-	if f.Ending == Unused || f.Ending == ConnectFailed || f.Ending == WrongUpstream || f.Ending == Rejected {
-		if q := c.quotas[g.req.Workspace]; q != nil && !g.req.Redirected {
-			q.Refund(g.req.Cost)
+	switch f.Ending {
+	case Unused, ConnectFailed:
+		c.uncharge(c.pool(g.req.Pool, now), g.req)
+	case WrongUpstream, Rejected:
+		// The request has not run, but a repeat has reached an upstream.
+		if !g.req.Repeat {
+			c.uncharge(c.pool(g.req.Pool, now), g.req)
 		}
 	}
 }
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -110,6 +110,32 @@
 	return None, 0
 }
 
+// uncharge returns what checkLimits has charged for a request that has not been sent
+// to an upstream.
+func (c *Coordinator) uncharge(p *pool, r Request) {
+	switch q := c.quotas[r.Workspace]; {
+	case r.Redirected:
+	case r.Repeat:
+		p.retries.Add(1)
+	case q != nil:
+		q.Refund(r.Cost)
+	}
+}
+
+// Withdraw removes a queued request whose caller has disconnected. If its grant was
+// already sent, the entry host ends it with a Finish.
+func (c *Coordinator) Withdraw(entry string, id uint64) {
+	for _, p := range c.pools {
+		p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+			if w.entry != entry || w.ID != id {
+				return false
+			}
+			c.uncharge(p, w.Request)
+			return true
+		})
+	}
+}
+
 // serve grants the free slots of a pool to queued requests in their order, and
 // ends the wait of those that should wait no longer: it checks new requests at
 // once and the whole queue every sweepInterval. Between these sweeps its cost
@@ -241,9 +267,7 @@
 	if !c.canServe(p, w.Request, now) {
 		reason = NoUpstream
 	}
-	if q := c.quotas[w.Workspace]; q != nil && !w.Redirected && !w.Repeat {
-		q.Refund(w.Cost)
-	}
+	c.uncharge(p, w.Request)
 	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: after})
 	return true
 }
