forwarder: a refusal after a takeover does not say that the request has not run

What callers would see: 503, which promises that the request has not run, without a Retry-After, although the first upstream may have run it. Found by review.

Cause: the attempt that was taken over left no refusal, and the rejection of the second upstream may not replace what an earlier run has left. It leaves timedOut now, as the end of a silent upstream did before there were takeovers.

Evidence: TestRefusalAfterTakeover failed before.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -332,6 +332,7 @@
 // lost, or that another one has taken over.
 func (a *attempt) endLost(ctx context.Context, err error) attemptResult {
 	if a.successor != nil {
+		a.refusal = Refusal{Outcome: TimedOut, Reason: "upstreamSilent", RetryAfter: defaultRetryAfter}
 		a.log.Info("request taken over", "id", a.r.ID, "from", a.grant.Upstream, "to", a.successor.grant.Upstream, "after", a.lastEventID)
 		return attemptResult{ending: coordinator.TimedOut, successor: a.successor}
 	}
