forwarder: a rejection after a failed takeover does not undo the other run

What callers would see: 503, which promises that the request has not run, although the upstream that was to take it over may have. Found by review.

Cause: a rejection restored whether the request may have run from before its own attempt, which a second attempt in between had changed. Possible runs are counted now.

Evidence: TestRejectionAfterFailedTakeover failed before.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -73,8 +73,6 @@
 	// written receives the result of a request write that runs while the
 	// response is read; nil if there is no such write.
 	written chan error
-	// hadRun is handler.mayHaveRun before this attempt.
-	hadRun bool
 	// response and info are the head of the response once it has been read.
 	response *http.Response
 	info     ResponseInfo
@@ -210,7 +208,7 @@
 	head := a.codec.Encode(make([]byte, 0, headBufferBytes), a.r, Dispatch{Upstream: entry, Remaining: left, LastEventID: a.lastEventID, Trace: traceContext(ctx)})
 	a.tried = append(a.tried, a.grant.Upstream)
 	a.dispatched++
-	a.hadRun, a.mayHaveRun = a.mayHaveRun, true
+	a.possibleRuns++
 	a.start, a.upstream = now, entry
 	if err := a.writeRequest(head); err != nil {
 		return a.endLost(ctx, err), false
@@ -320,7 +318,7 @@
 
 // endRejected ends an attempt whose request the upstream has not run.
 func (a *attempt) endRejected() attemptResult {
-	a.mayHaveRun = a.hadRun
+	a.possibleRuns--
 	a.refuse(Refusal{Outcome: NotRun, Reason: "upstreamRejected", RetryAfter: defaultRetryAfter})
 	if a.info.WrongUpstream {
 		return attemptResult{ending: coordinator.WrongUpstream}
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -153,8 +153,8 @@
 	// the upstreams that it was sent to and those that could not be reached.
 	dispatched int
 	tried      []string
-	// mayHaveRun reports whether an upstream may have run the request.
-	mayHaveRun bool
+	// possibleRuns is the number of upstreams that may have run the request.
+	possibleRuns int
 	// responseStarted reports whether an upstream has begun to respond.
 	responseStarted bool
 	// headSent reports whether the head of a streamed response was sent to the
@@ -278,7 +278,7 @@
 	if h.dispatched >= max(h.r.Route.Attempts, 1) {
 		return false
 	}
-	return !h.mayHaveRun || h.r.Route.Retryable()
+	return h.possibleRuns == 0 || h.r.Route.Retryable()
 }
 
 // requestGrant requests a grant and returns whether there is one. A refusal is
@@ -320,7 +320,7 @@
 // refuse sets the refusal of a request that is not run now, unless an earlier
 // attempt may have run it.
 func (h *handler) refuse(r Refusal) {
-	if !h.mayHaveRun {
+	if h.possibleRuns == 0 {
 		h.refusal = r
 	}
 }
@@ -334,7 +334,7 @@
 // whose caller has disconnected.
 func (h *handler) setContextRefusal(ctx context.Context) {
 	o := NotRun
-	if h.mayHaveRun {
+	if h.possibleRuns > 0 {
 		o = TimedOut
 	}
 	reason := "deadline"
--- a/foxtaild/forwarder/takeover_test.go
+++ b/foxtaild/forwarder/takeover_test.go
@@ -27,3 +27,23 @@
 		t.Errorf("the caller received %q with %+v, though the first upstream may have run the request", got.outcome(), got.refusal)
 	}
 }
+
+// TestRejectionAfterFailedTakeover has the other upstream close its connection during
+// the takeover, after it may have run the request, and the first one reject it then.
+func TestRejectionAfterFailedTakeover(t *testing.T) {
+	s, a := newTakeoverFixture(t)
+	a.admit = func(context.Context) (string, error) { return "second", nil }
+	lost := make(chan struct{})
+	s.put("first", startUpstream(t, func(c net.Conn, id string) {
+		<-lost
+		_, _ = io.WriteString(c, strings.ReplaceAll(response(503, notRunHeader+": 1\r\n", "busy"), "%ID", id))
+	}))
+	s.put("second", startUpstream(t, func(c net.Conn, _ string) {
+		_ = c.Close()
+		close(lost)
+	}))
+	got := s.serve(idempotent, "id-1")
+	if got.outcome() == "notRun" {
+		t.Errorf("the caller received %q with %+v, though the second upstream may have run the request", got.outcome(), got.refusal)
+	}
+}
