forwarder: end the attempt of a takeover that is not needed

What was seen: a grant that was never returned, so that its slot stayed taken until the request's deadline. Found by review.

Cause: a read may return the rest of a response together with the error that another upstream has taken over. The response then ended as complete, and nothing ended the other attempt.

Evidence: TestTakeoverAfterTerminator failed before (1 of 2 grants returned).

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -103,6 +103,10 @@
 // complete relays the response to a request that has been sent and ends the attempt.
 func (a *attempt) complete(ctx context.Context) attemptResult {
 	res := a.receive(ctx)
+	if a.successor != nil && res.successor == nil {
+		// The response ended in the bytes that had been read before the takeover.
+		a.successor.end(attemptResult{ending: coordinator.Cancelled})
+	}
 	a.end(res)
 	return res
 }
--- a/foxtaild/forwarder/takeover_test.go
+++ b/foxtaild/forwarder/takeover_test.go
@@ -3,9 +3,16 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"foxtaillug.org/foxtaild/connector"
+	"foxtaillug.org/foxtaild/forwarder"
 )
 
 // TestRefusalAfterTakeover has the other upstream reject the request after it has taken
@@ -47,3 +54,32 @@
 		t.Errorf("the caller received %q with %+v, though the second upstream may have run the request", got.outcome(), got.refusal)
 	}
 }
+
+// TestTakeoverAfterTerminator has the first upstream send the terminator and fall silent
+// inside the end of the body. Every grant must be returned.
+func TestTakeoverAfterTerminator(t *testing.T) {
+	s, a := newTakeoverFixture(t)
+	var grants atomic.Int32
+	a.admit = func(context.Context) (string, error) { grants.Add(1); return "second", nil }
+	f := forwarder.New(a, testCodec{}, connector.New(), s.directory, slog.New(slog.DiscardHandler), forwarder.WithTerminator("data: [DONE]"))
+	s.put("first", startUpstream(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%ID", id)+events(0, 2)+chunk("data: [DONE]\n\n")+"0\r\n")
+		_, _ = c.Read(make([]byte, 1))
+	}))
+	s.put("second", startUpstream(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "%ID", id)+chunk("data: [DONE]\n\n")+"0\r\n\r\n")
+		_, _ = c.Read(make([]byte, 1))
+	}))
+	route := resumable
+	route.Objective = time.Second
+	r := &recorder{}
+	f.Serve(context.Background(), &forwarder.Request{
+		ID: "id-1", Method: http.MethodPost, Target: "/p", Body: []byte("body"), Route: &route, Pool: "p",
+		Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second), LastEventID: forwarder.NoEvent,
+	}, r)
+	s.admitter.mu.Lock()
+	defer s.admitter.mu.Unlock()
+	if n := int(grants.Load()) + 1; len(s.admitter.finishes) != n {
+		t.Errorf("%d of %d grants were returned (%v); the caller received %q", len(s.admitter.finishes), n, s.admitter.finishes, r.outcome())
+	}
+}
