forwarder: keep a response that arrives during a takeover

What callers would see: a response that had arrived was dropped, and the request lost if the other upstream lost it too.

Cause: the first connection was closed once the other upstream had not rejected the request for 150 ms, without a look at what had arrived meanwhile. It is probed before the request is sent to the other upstream and again before the connection is closed. If it has spoken, the other attempt ends as cancelled.

Evidence: both cases of TestFirstResponseDuringTakeoverIsKept failed before.

--- a/foxtaild/connector/connector.go
+++ b/foxtaild/connector/connector.go
@@ -87,6 +87,9 @@
 // the buffer of Reader. A negative limit means none.
 func (c *Conn) SetReadLimit(n int64) { c.limiter.left = n }
 
+// Readable reports whether bytes have arrived that have not been read.
+func (c *Conn) Readable() bool { return prober.Probe(c.Conn) == prober.Readable }
+
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -130,7 +130,13 @@
 		return nil
 	}
 	w.search = nil
-	if g == nil || !w.takeOver(w.ctx, *g) {
+	switch {
+	case g == nil:
+		return nil
+	case w.conn.Readable():
+		g.ReportFinish(coordinator.Finish{Ending: coordinator.Unused})
+		return nil
+	case !w.takeOver(w.ctx, *g):
 		return nil
 	}
 	return errTakenOver
@@ -165,8 +171,9 @@
 	}
 }
 
-// takeOver sends the request to the upstream of a grant. If that upstream accepts it,
-// it closes the connection of this attempt and returns true.
+// takeOver sends the request to the upstream of a grant. If that upstream accepts it
+// and this attempt's is still silent, it closes the connection of this attempt and
+// returns true.
 func (a *attempt) takeOver(ctx context.Context, g Grant) bool {
 	b, ctx := a.newAttempt(ctx, g)
 	res, ok := b.send(ctx)
@@ -178,6 +185,11 @@
 		b.end(res)
 		return false
 	}
+	if a.conn.Readable() {
+		a.endings = append(a.endings, coordinator.Cancelled.String())
+		b.end(attemptResult{ending: coordinator.Cancelled})
+		return false
+	}
 	a.successor = b
 	_ = a.conn.Close()
 	return true
--- a/foxtaild/forwarder/takeover_test.go
+++ b/foxtaild/forwarder/takeover_test.go
@@ -13,8 +13,46 @@
 
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/foxtaild/forwarder"
+	"foxtaillug.org/scheduler/router"
 )
 
+// TestFirstResponseDuringTakeoverIsKept has the silent upstream respond while the other
+// one is awaited, which then closes its connection.
+func TestFirstResponseDuringTakeoverIsKept(t *testing.T) {
+	tests := map[string]struct {
+		route         router.Route
+		before, after string
+		want          string
+	}{
+		"idempotent": {idempotent, "", response(200, sealed, "yes"), "200 yes"},
+		"stream":     {resumable, streamHead + events(0, 2), events(3, 5) + "0\r\n\r\n", "200 " + relayedEvents(0, 5)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, a := newTakeoverFixture(t)
+			a.admit = func(context.Context) (string, error) { return "second", nil }
+			arrived, responded, closed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			s.put("first", startUpstream(t, func(c net.Conn, id string) {
+				_, _ = io.WriteString(c, strings.ReplaceAll(tt.before, "%ID", id))
+				<-arrived
+				_, _ = io.WriteString(c, strings.ReplaceAll(tt.after, "%ID", id))
+				close(responded)
+				_, _ = c.Read(make([]byte, 1))
+				close(closed)
+			}))
+			s.put("second", startUpstream(t, func(net.Conn, string) {
+				close(arrived)
+				<-responded
+				<-closed
+			}))
+			if got := s.serve(tt.route, "id-1"); got.outcome() != tt.want {
+				t.Errorf("the caller received %q, want %q", got.outcome(), tt.want)
+			}
+		})
+	}
+}
+
 // TestRefusalAfterTakeover has the other upstream reject the request after it has taken
 // it over. The first one may have run it.
 func TestRefusalAfterTakeover(t *testing.T) {
