connector: an upstream may pause for longer before its connection is given up

What callers saw or would see: 502 for a large request to an upstream that did not read for more than 1.5 s and then went on.

Cause: TCP_USER_TIMEOUT of 1.5 s. It ends a connection whose data is unacknowledged for that long, and also one whose peer acknowledges but has no room, because its process is silent. Requests have deadlines, and those that may be repeated are taken over earlier, so the limit only has to end connections that no request waits for: 5 s now.

Evidence: TestSilentReaderKeepsItsRequest failed before with pauses of 1.8, 2 and 3 s, and passed with 1 and 1.4 s.

--- a/foxtaild/connector/connector.go
+++ b/foxtaild/connector/connector.go
@@ -28,9 +28,11 @@
 	// dialTimeout bounds the time to connect. It allows for two round trips
 	// between regions and a busy upstream.
 	dialTimeout = 300 * time.Millisecond
-	// ackTimeout is how long sent data may stay unacknowledged before the
-	// kernel closes a connection.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout is how long sent data may stay unacknowledged, or unread by an
+	// upstream whose buffers are full, before the kernel closes a connection. It
+	// exceeds the pauses of sound upstreams by far; requests have deadlines of their
+	// own.
+	ackTimeout = 5 * time.Second
 	// defaultIdleTimeout is how long an upstream is assumed to keep an idle
 	// connection open if it does not say.
 	defaultIdleTimeout = 4 * time.Second
