quarantiner: responses take turns through the reports, in a fixed order

What callers saw: none of it directly.

Cause: Response started at a random place each time, and removeCleared removed a random report.

Evidence: TestResponsesTakeTurns fails before in four of its five cases: as many responses as hold all 80 reports together carried 40 to 56 different ones.

Why the fix works: confirmed digests are kept in order, and each response continues after the last report of the one before. Reports are counted in order of time and upstream.

--- a/scheduler/quarantiner/exchange.go
+++ b/scheduler/quarantiner/exchange.go
@@ -49,21 +49,39 @@
 
 // Response returns the message to send to the host that a message came from, with
 // at most n reports. If the confirmed digests of the two hosts differ, it includes
-// reports of this host's, starting at a random one.
+// reports of this host's, in turn.
 func (q *Quarantiner) Response(m Message, n int, now time.Time) Message {
 	r := q.Message(n, now)
 	if m.Confirmed == r.Confirmed {
 		return r
 	}
-	for d, rec := range q.confirmed {
-		for upstream, x := range rec.reports {
-			if len(r.Reports) >= n {
-				return r
+	r.Reports = q.appendConfirmed(r.Reports, n, now)
+	return r
+}
+
+// appendConfirmed appends reports of confirmed digests up to a total of n, from the
+// one after the last that it appended before.
+func (q *Quarantiner) appendConfirmed(reports []Report, n int, now time.Time) []Report {
+	last := q.lastAppended
+	from, _ := slices.BinarySearch(q.order, last.digest)
+	digests := slices.Concat(q.order[from:], q.order[:from], q.order[from:min(from+1, len(q.order))])
+	for i, d := range digests {
+		x := q.confirmed[d]
+		for _, upstream := range slices.Sorted(maps.Keys(x.reports)) {
+			// The digest of the last report comes first with the reports after that one,
+			// and at the end with the others.
+			appended := d == last.digest && upstream <= last.upstream
+			if i == 0 && appended || i == len(q.order) && !appended {
+				continue
 			}
-			r.Reports = append(r.Reports, x.encode(d, upstream, now))
+			if len(reports) >= n {
+				return reports
+			}
+			reports = append(reports, x.reports[upstream].encode(d, upstream, now))
+			q.lastAppended = reportKey{d, upstream}
 		}
 	}
-	return r
+	return reports
 }
 
 // Receive processes a message from another host. It returns whether it added or
--- a/scheduler/quarantiner/exchange_test.go
+++ b/scheduler/quarantiner/exchange_test.go
@@ -229,6 +229,34 @@
 	}
 }
 
+// TestResponsesTakeTurns sends few reports at a time to a host that knows none of
+// many confirmed digests.
+func TestResponsesTakeTurns(t *testing.T) {
+	for name, n := range map[string]int{"one at a time": 1, "part of a digest": 3, "one digest": 8, "several digests": maxReports, "all": 100} {
+		t.Run(name, func(t *testing.T) {
+			const digests, reportsOfEach = 10, 8
+			q := quarantiner.New()
+			for d := range quarantiner.Digest(digests) {
+				for i := range uint64(reportsOfEach) {
+					crash(q, 1+d, i, time.Duration(i)*time.Second)
+				}
+			}
+			now := start.Add(time.Minute)
+			for len(q.Message(maxReports, now).Reports) > 0 {
+			}
+			sent := make(map[[2]uint64]int)
+			for range (digests*reportsOfEach + n - 1) / n {
+				for _, x := range q.Response(quarantiner.Message{}, n, now).Reports {
+					sent[[2]uint64{uint64(x.Digest), x.Upstream}]++
+				}
+			}
+			if len(sent) != digests*reportsOfEach {
+				t.Errorf("%d of %d reports were sent", len(sent), digests*reportsOfEach)
+			}
+		})
+	}
+}
+
 // TestOrderOfReportsDoesNotMatter merges the same reports in random order.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -64,9 +65,13 @@
 	history        *history
 	lastExpiry     time.Time
 	// confirmed holds the digests that have reached their threshold, and
-	// confirmedHash is a hash of them that does not depend on their order.
+	// confirmedHash is a hash of them that does not depend on their order. order
+	// holds them in ascending order, and lastAppended is the last of their reports
+	// that appendConfirmed has appended.
 	confirmed     map[Digest]*record
 	confirmedHash uint64
+	order         []Digest
+	lastAppended  reportKey
 	// unsent holds the reports that fewer than maxTransmissions messages have
 	// carried.
 	unsent map[reportKey]*report
@@ -212,12 +217,13 @@
 	return true
 }
 
-// removeCleared removes a cleared report of a digest and returns whether there was
-// one.
+// removeCleared removes the oldest cleared report of a digest and returns whether
+// there was one.
 func (q *Quarantiner) removeCleared(d Digest) bool {
-	for upstream, x := range q.records[d].reports {
-		if x.cleared {
-			delete(q.records[d].reports, upstream)
+	r := q.records[d]
+	for _, upstream := range r.byTime() {
+		if r.reports[upstream].cleared {
+			delete(r.reports, upstream)
 			delete(q.unsent, reportKey{d, upstream})
 			return true
 		}
@@ -276,10 +282,13 @@
 		return
 	}
 	q.confirmedHash ^= bits.RotateLeft64(uint64(d)*mixMultiplier, 31) * mixMultiplier
+	i, _ := slices.BinarySearch(q.order, d)
 	if confirmed {
 		q.confirmed[d] = r
+		q.order = slices.Insert(q.order, i, d)
 	} else {
 		delete(q.confirmed, d)
+		q.order = slices.Delete(q.order, i, i+1)
 	}
 }
 
--- a/scheduler/quarantiner/record.go
+++ b/scheduler/quarantiner/record.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -45,23 +47,23 @@
 	known bool
 }
 
+// byTime returns the upstream processes of the reports in the order of the crashes.
+func (r *record) byTime() []uint64 {
+	return slices.SortedFunc(maps.Keys(r.reports), func(a, b uint64) int {
+		return cmp.Or(r.reports[a].lost.Compare(r.reports[b].lost), cmp.Compare(a, b))
+	})
+}
+
 // count sets crashes to the size of the largest set of runs that follow each
 // other, or to what another host has counted if that is more. It ignores counts of
 // other hosts that may include a report that has been cleared.
 func (r *record) count() {
-	runs := make([]*report, 0, len(r.reports))
-	r.lastReport, r.known = time.Time{}, false
-	for _, x := range r.reports {
-		r.known = r.known || x.known || x.cleared
-		runs = append(runs, x)
-		if x.lost.After(r.lastReport) {
-			r.lastReport = x.lost
-		}
-	}
-	slices.SortFunc(runs, func(a, b *report) int { return a.lost.Compare(b.lost) })
-	r.crashes, r.lastCrash = 0, time.Time{}
+	r.crashes, r.lastCrash, r.lastReport, r.known = 0, time.Time{}, time.Time{}, false
 	counted, most, cleared := (*report)(nil), 0, false
-	for _, x := range runs {
+	for _, upstream := range r.byTime() {
+		x := r.reports[upstream]
+		r.lastReport = x.lost
+		r.known = r.known || x.known || x.cleared
 		if x.cleared {
 			cleared = true
 			continue
