quarantiner: refusals that end at different times, and a fleet test for parts

What callers saw: with all hosts' refusals of a part ending at once, several requests with it crash upstreams before the first of these crashes is known everywhere.

Cause: the refusal of a digest lasts equally long at all hosts, counted from the same crash.

Change: WithSpread adds a time that should differ between hosts. Zero by default.

Evidence: TestGuiltyPartsAreRefusedAndSoundOnesAreNot simulates fleets with kills, partitions, lost messages and failing upstreams.

--- a/scheduler/quarantiner/doc.go
+++ b/scheduler/quarantiner/doc.go
@@ -11,7 +11,8 @@
 //
 // A refusal ends after a time that grows with the number of crashes, so that a
 // request that was suspected wrongly is served again, while one that crashes
-// upstreams for days runs a few times a day.
+// upstreams for days runs a few times a day. It should end at each host at another
+// time (WithSpread), so that the others learn what the first run after it showed.
 //
 // Every host keeps all reports and exchanges them with others (exchange.go). A
 // report is identified by digest and upstream process and can only change from
--- /dev/null
+++ b/scheduler/quarantiner/partfleet_test.go
@@ -0,0 +1,301 @@
+package quarantiner_test
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"foxtaillug.org/scheduler/quarantiner"
+)
+
+const (
+	// tick is the resolution of the simulated time.
+	tick = 50 * time.Millisecond
+	// firstGuilty and firstSound are the digests of the first guilty part, which
+	// crashes each upstream that runs it, and of the first sound one.
+	firstGuilty = quarantiner.Digest(1)
+	firstSound  = quarantiner.Digest(100)
+	// chargedFrom is the crash from which on, after contactTime, runs of a guilty part
+	// are charged to the fleet, and maxChargedRuns how many may be.
+	chargedFrom    = 5
+	maxChargedRuns = 3
+	// minPrefill and maxPrefill bound the time from sending a request to the begin of
+	// its answer or to the crash.
+	minPrefill = 30 * time.Millisecond
+	maxPrefill = 200 * time.Millisecond
+	// maxCheck bounds the time of a health check.
+	maxCheck = 50 * time.Millisecond
+	// minSoundRate and maxSoundRate bound the requests per second of a sound part,
+	// guiltyRate is that of a guilty one.
+	minSoundRate = 0.5
+	maxSoundRate = 5
+	guiltyRate   = 1
+	// maxSpread bounds by how much the refusals of hosts differ.
+	maxSpread = time.Minute
+)
+
+// run is a request that an upstream runs and whose answer has not begun.
+type run struct {
+	host      int
+	process   *node
+	upstream  int
+	parts     []quarantiner.Digest
+	sent, end time.Duration
+}
+
+// check is a health check of an upstream process that has crashed.
+type check struct {
+	run
+	crashed   uint64
+	lost, end time.Duration
+}
+
+// guiltyPart is a part that crashes upstreams from a time on, and is sound before.
+type guiltyPart struct {
+	from time.Duration
+	// crashes counts the crashes by the part, fifthAt is the time of the fifth.
+	crashes int
+	fifthAt time.Duration
+	// late counts the runs that are charged to the fleet.
+	late int
+}
+
+// soundPart counts the requests of a sound part and those whose answer began.
+type soundPart struct {
+	rate         float64
+	asked, begun int
+}
+
+// partFleet is a simulated fleet that serves requests with sound and guilty parts.
+type partFleet struct {
+	fleet
+	// upstreams holds the process of each upstream.
+	upstreams []uint64
+	processes uint64
+	running   []run
+	checks    []check
+	sound     []soundPart
+	guilty    []guiltyPart
+}
+
+func newPartFleet(hosts, upstreams, sound int, seed uint64, loss float64) *partFleet {
+	f := &partFleet{fleet: fleet{rand: rand.New(rand.NewPCG(seed, 1)), loss: loss}}
+	for range hosts {
+		f.nodes = append(f.nodes, f.newNode())
+	}
+	for range sound {
+		f.sound = append(f.sound, soundPart{rate: minSoundRate + (maxSoundRate-minSoundRate)*f.rand.Float64()})
+	}
+	for range upstreams {
+		f.processes++
+		f.upstreams = append(f.upstreams, f.processes)
+	}
+	return f
+}
+
+// newNode returns a host that has long been running.
+func (f *partFleet) newNode() *node {
+	return &node{Quarantiner: newParts(quarantiner.WithSpread(f.between(0, maxSpread))), startedAt: -time.Hour}
+}
+
+// between returns a random duration between two others.
+func (f *partFleet) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(f.rand.Int64N(int64(b-a)))
+}
+
+// happens reports whether an event with a rate per second happens in a tick.
+func (f *partFleet) happens(rate float64) bool { return f.rand.Float64() < rate*tick.Seconds() }
+
+// request sends a request to a host. It returns whether it runs, which the host
+// refuses if it refuses one of the parts.
+func (f *partFleet) request(host int, parts ...quarantiner.Digest) bool {
+	n := f.nodes[host]
+	for _, d := range parts {
+		if n.Verdict(d, f.clock(host)) == quarantiner.Refused {
+			return false
+		}
+	}
+	f.running = append(f.running, run{
+		host: host, process: n, parts: parts, upstream: f.rand.IntN(len(f.upstreams)),
+		sent: f.now, end: f.now + f.between(minPrefill, maxPrefill),
+	})
+	return true
+}
+
+// requestGuilty sends a request with a guilty part and a random sound one.
+func (f *partFleet) requestGuilty(i int) {
+	host, g := f.rand.IntN(len(f.nodes)), &f.guilty[i]
+	sound := firstSound + quarantiner.Digest(f.rand.IntN(len(f.sound)))
+	if !f.request(host, firstGuilty+quarantiner.Digest(i), sound) {
+		return
+	}
+	if g.crashes >= chargedFrom && f.now-g.fifthAt > contactTime && f.now-f.nodes[host].startedAt > contactTime {
+		g.late++
+	}
+}
+
+// requests sends the requests of a tick.
+func (f *partFleet) requests(guilty bool) {
+	for i := range f.sound {
+		if p := &f.sound[i]; f.happens(p.rate) {
+			p.asked++
+			f.request(f.rand.IntN(len(f.nodes)), firstSound+quarantiner.Digest(i))
+		}
+	}
+	for i, g := range f.guilty {
+		if (guilty || g.from > 0) && f.happens(guiltyRate) {
+			f.requestGuilty(i)
+		}
+	}
+}
+
+// crash ends an upstream with all requests that it runs, and replaces it.
+func (f *partFleet) crash(upstream int) {
+	crashed := f.upstreams[upstream]
+	f.processes++
+	f.upstreams[upstream] = f.processes
+	f.running = slices.DeleteFunc(f.running, func(r run) bool {
+		if r.upstream != upstream {
+			return false
+		}
+		f.checks = append(f.checks, check{run: r, crashed: crashed, lost: f.now, end: f.now + f.between(0, maxCheck)})
+		return true
+	})
+}
+
+// advance processes the events until the next tick.
+func (f *partFleet) advance() {
+	f.now += tick
+	slices.SortStableFunc(f.running, func(a, b run) int { return cmp.Compare(a.end, b.end) })
+	for len(f.running) > 0 && f.running[0].end <= f.now {
+		if d := f.running[0].parts[0]; d < firstSound && f.now >= f.guilty[d-firstGuilty].from {
+			g := &f.guilty[d-firstGuilty]
+			if g.crashes++; g.crashes == chargedFrom {
+				g.fifthAt = f.now
+			}
+			f.crash(f.running[0].upstream)
+			continue
+		}
+		r := f.running[0]
+		f.running = f.running[1:]
+		if f.nodes[r.host] == r.process {
+			f.begin(r)
+		}
+	}
+	f.checks = slices.DeleteFunc(f.checks, func(c check) bool {
+		if c.end > f.now {
+			return false
+		}
+		if f.nodes[c.host] == c.process {
+			f.report(c)
+		}
+		return true
+	})
+}
+
+// begin records that the answer to a request has begun.
+func (f *partFleet) begin(r run) {
+	for _, d := range r.parts {
+		if len(r.parts) == 1 {
+			f.sound[d-firstSound].begun++
+		}
+		if r.process.RecordBegun(d, f.clock(r.host)) {
+			f.spread(r.host)
+		}
+	}
+}
+
+// report records the crash that a health check has found.
+func (f *partFleet) report(c check) {
+	at := f.clock(c.host)
+	for _, d := range c.parts {
+		c.process.RecordCrash(d, c.crashed, at.Add(c.sent-f.now), at.Add(c.lost-f.now))
+	}
+	f.spread(c.host)
+}
+
+// spread lets a host send new reports to three others without delay.
+func (f *partFleet) spread(host int) {
+	for range 3 {
+		f.exchange(host, f.rand.IntN(len(f.nodes)))
+	}
+}
+
+// restart replaces the process of a host.
+func (f *partFleet) restart(i int) {
+	part := f.nodes[i].part
+	f.nodes[i] = f.newNode()
+	f.nodes[i].startedAt, f.nodes[i].part = f.now, part
+}
+
+// TestGuiltyPartsAreRefusedAndSoundOnesAreNot sends requests with parts that crash
+// upstreams, each with a random sound one, to random hosts while others are killed,
+// partitioned, and lose messages, and upstreams fail for other reasons. In each part
+// of a partition some host always remains.
+func TestGuiltyPartsAreRefusedAndSoundOnesAreNot(t *testing.T) {
+	const (
+		duration     = 90 * time.Second
+		killInterval = 6 * time.Second
+		// A partition begins in the middle of each period and heals near its end.
+		partitionPeriod = 15 * time.Second
+		partitionFrom   = partitionPeriod / 2
+		partitionUntil  = partitionPeriod * 9 / 10
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(4, 90).Draw(t, "hosts")
+		upstreams := rapid.IntRange(4, 60).Draw(t, "upstreams")
+		f := newPartFleet(hosts, upstreams, rapid.IntRange(4, 40).Draw(t, "sound"),
+			rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss"))
+		for range rapid.IntRange(1, 2).Draw(t, "guilty") {
+			from := rapid.SampledFrom([]time.Duration{0, 20 * time.Second}).Draw(t, "from")
+			f.guilty = append(f.guilty, guiltyPart{from: from})
+		}
+		guiltyFrom := time.Duration(rapid.IntRange(0, 20).Draw(t, "guiltyFrom")) * time.Second
+		partitions := rapid.Bool().Draw(t, "partitions")
+		killed := rapid.IntRange(0, min(3*hosts/4, hosts-2)).Draw(t, "killed")
+		outages := rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "outages")
+		rack := rapid.IntRange(0, upstreams/2).Draw(t, "rack")
+		for f.now < duration {
+			f.advance()
+			f.requests(f.now >= guiltyFrom)
+			if f.now%exchangeInterval == 0 {
+				for _, i := range f.rand.Perm(hosts) {
+					f.exchange(i, f.rand.IntN(hosts))
+				}
+			}
+			if f.happens(outages) {
+				f.crash(f.rand.IntN(upstreams))
+			}
+			if f.happens(outages / 5) {
+				for i := range rack {
+					f.crash(i)
+				}
+			}
+			if f.now%killInterval == killInterval/2 {
+				for _, i := range f.rand.Perm(killed)[:f.rand.IntN(killed+1)] {
+					f.restart(i)
+				}
+			}
+			for i, n := range f.nodes {
+				n.part = 0
+				if phase := f.now % partitionPeriod; partitions && phase >= partitionFrom && phase < partitionUntil {
+					n.part = i % 2
+				}
+			}
+		}
+		for i, g := range f.guilty {
+			if g.late > maxChargedRuns {
+				t.Errorf("%d late runs of guilty part %d, want at most %d; %d crashes", g.late, i, maxChargedRuns, g.crashes)
+			}
+		}
+		for i, p := range f.sound {
+			if 2*p.begun < p.asked {
+				t.Errorf("%d of %d requests with sound part %d were answered, want at least half", p.begun, p.asked, i)
+			}
+		}
+	})
+}
--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -61,9 +61,11 @@
 	// unknown and known are the numbers of crashes from which on digests are
 	// refused.
 	unknown, known int
-	records        map[Digest]*record
-	history        *history
-	lastExpiry     time.Time
+	// spread is added to each refusal.
+	spread     time.Duration
+	records    map[Digest]*record
+	history    *history
+	lastExpiry time.Time
 	// confirmed holds the digests that have reached their threshold, and
 	// confirmedHash is a hash of them that does not depend on their order. order
 	// holds them in ascending order, and lastAppended is the last of their reports
@@ -103,6 +105,12 @@
 	return func(q *Quarantiner) { q.unknown, q.known = unknown, known }
 }
 
+// WithSpread adds a time to each refusal. If it differs between hosts, the requests
+// that arrive after a refusal don't all run before the first crash is reported.
+func WithSpread(d time.Duration) Option {
+	return func(q *Quarantiner) { q.spread = d }
+}
+
 // WithHistory remembers when answers began on up to a number of digests, so that
 // reports of earlier runs that arrive later are cleared, and digests on which an
 // answer began within the retention before a crash count as known.
@@ -142,7 +150,7 @@
 	switch {
 	case age >= q.retentionOf(r.crashes, r.known):
 		return Clean
-	case q.confirmed[d] != nil && age < q.refusal(r.crashes, r.known):
+	case q.confirmed[d] != nil && age < q.refusal(r.crashes, r.known)+q.spread:
 		return Refused
 	default:
 		return Suspect
@@ -181,7 +189,7 @@
 // retentionOf returns how long a digest is kept after the last of a number of crashes:
 // beyond its refusal, so that a further crash extends the refusal.
 func (q *Quarantiner) retentionOf(crashes int, known bool) time.Duration {
-	return max(q.retention, 2*q.refusal(crashes, known))
+	return max(q.retention, 2*q.refusal(crashes, known)+q.spread)
 }
 
 // maxReports returns the number of reports kept of one digest.
