--- a/scheduler/quarantiner/exchange.go
+++ b/scheduler/quarantiner/exchange.go
@@ -24,7 +24,8 @@
 	// Crashes is the number of crashes that the host which recorded this one
 	// attributed to the digest then, this one included.
 	Crashes uint8 `cbor:"6,keyasint,omitempty"`
-	// Cleared reports that a request with the digest has completed since.
+	// Cleared reports that a request with the digest has completed since, or an
+	// answer on it has begun.
 	Cleared bool `cbor:"5,keyasint,omitempty"`
 	// Known reports that a host remembers an answer on the digest from before the
 	// crash.
