inspector, platform: parts are refused from four crashes on, and hosts end refusals apart

Cause, found by the property test of whole fleets before it was met: refusals that end at all hosts at once let several requests run before the first crash is known (four late runs at its 83rd case without the spread), and three crashes are too few for a sound part that is new and travels with a guilty one, while six let guilty ones run late (the test fails at its 16th case with three and six).

Each host adds a time of up to a minute to its refusals, by its name. Parts are refused from the fourth crash on, or the fifth if an answer had begun on them.

--- a/foxtaild/inspector/inspector.go
+++ b/foxtaild/inspector/inspector.go
@@ -27,8 +27,11 @@
 	// unknownPartCrashes is the number of crashes from which on a part is refused, and
 	// knownPartCrashes that for a part on which an answer had begun shortly before a
 	// crash: sound parts that share requests with a crashing one are mostly known.
-	unknownPartCrashes = 3
-	knownPartCrashes   = 6
+	unknownPartCrashes = 4
+	knownPartCrashes   = 5
+	// maxSpread is the longest time by which the refusals of one host end later than
+	// those of another.
+	maxSpread = time.Minute
 	// begunRetention is how long the last answer that began on a part is remembered,
 	// for at most begunCapacity parts.
 	begunRetention = time.Minute
@@ -50,6 +53,8 @@
 	// requests and parts are the reports on the digests of whole requests and on
 	// those of the parts of their prompts.
 	requests, parts *Reports
+	// spread is the time that this host adds to each refusal.
+	spread time.Duration
 	// checked counts the health checks by result, dropped the losses beyond
 	// maxQueuedLosses.
 	checked [resultCount]atomic.Uint64
@@ -66,19 +71,26 @@
 	return func(i *Inspector) { i.check = checker{path: path}.check }
 }
 
+// WithHost sets the host's name. Refusals end at different times on hosts with
+// different names.
+func WithHost(name string) Option {
+	return func(i *Inspector) { i.spread = time.Duration(xxhash.Sum64String(name) % uint64(maxSpread)) }
+}
+
 // New returns an inspector without reports. The caller must call Run.
 func New(log *slog.Logger, opts ...Option) *Inspector {
 	i := &Inspector{
-		log:      log,
-		check:    checker{path: func(string) string { return "" }}.check,
-		losses:   make(chan loss, maxQueuedLosses),
-		requests: newReports(log, "digest", "crash_digests"),
-		parts: newReports(log, "part", "crash_parts",
-			quarantiner.WithThresholds(unknownPartCrashes, knownPartCrashes), quarantiner.WithHistory(begunRetention, begunCapacity)),
+		log:    log,
+		check:  checker{path: func(string) string { return "" }}.check,
+		losses: make(chan loss, maxQueuedLosses),
 	}
 	for _, opt := range opts {
 		opt(i)
 	}
+	spread := quarantiner.WithSpread(i.spread)
+	i.requests = newReports(log, "digest", "crash_digests", spread)
+	i.parts = newReports(log, "part", "crash_parts", spread,
+		quarantiner.WithThresholds(unknownPartCrashes, knownPartCrashes), quarantiner.WithHistory(begunRetention, begunCapacity))
 	return i
 }
 
