inspector: a completed run clears reports that arrive after it

What callers would see: a popular request refused as quarantined for a minute or two, although it had been served between the two crashes that it was near.

Cause: a completed run clears the reports that exist, but the report of a crash exists only after its health check, of up to half a second, and reports of other hosts come later still. Completed runs are remembered now as begun answers on parts are.

--- a/foxtaild/inspector/inspector.go
+++ b/foxtaild/inspector/inspector.go
@@ -32,8 +32,9 @@
 	// maxSpread is the longest time by which the refusals of one host end later than
 	// those of another.
 	maxSpread = time.Minute
-	// begunRetention is how long the last answer that began on a part is remembered,
-	// for at most begunCapacity parts.
+	// begunRetention is how long the last answer that began on a part, and the last run
+	// of a request that completed, are remembered, for at most begunCapacity parts and
+	// requests each.
 	begunRetention = time.Minute
 	begunCapacity  = 4096
 )
@@ -88,9 +89,9 @@
 		opt(i)
 	}
 	spread := quarantiner.WithSpread(i.spread)
-	i.requests = newReports(log, "digest", "crash_digests", spread)
-	i.parts = newReports(log, "part", "crash_parts", spread,
-		quarantiner.WithThresholds(unknownPartCrashes, knownPartCrashes), quarantiner.WithHistory(begunRetention, begunCapacity))
+	history := quarantiner.WithHistory(begunRetention, begunCapacity)
+	i.requests = newReports(log, "digest", "crash_digests", spread, history)
+	i.parts = newReports(log, "part", "crash_parts", spread, history, quarantiner.WithThresholds(unknownPartCrashes, knownPartCrashes))
 	return i
 }
 
@@ -123,7 +124,7 @@
 func (i *Inspector) RecordBegun(parts []uint64) { i.parts.recordBegun(parts) }
 
 // RecordComplete records that an upstream has run a request with success.
-func (i *Inspector) RecordComplete(digest uint64) { i.requests.recordComplete(digest) }
+func (i *Inspector) RecordComplete(digest uint64) { i.requests.recordBegun([]uint64{digest}) }
 
 // recordCrash adds crash reports for a loss.
 func (i *Inspector) recordCrash(l loss) {
--- a/foxtaild/inspector/inspector_test.go
+++ b/foxtaild/inspector/inspector_test.go
@@ -204,3 +204,19 @@
 		t.Errorf("upstream received %q", got)
 	}
 }
+
+// TestCompletedRunClearsReportOfEarlierRun has a run of a request complete before the
+// health check after an earlier run's loss has ended. That loss must not count.
+func TestCompletedRunClearsReportOfEarlierRun(t *testing.T) {
+	i := startInspector(t, "/health")
+	first := newLoss(digest, deadUpstream(t, "one"))
+	i.RecordComplete(digest)
+	lose(t, i, first, "dead")
+	loseConnection(t, i, deadUpstream(t, "two"), "dead")
+	// The third loss is of another request and shows that the second one was recorded.
+	lose(t, i, newLoss(digest+1, deadUpstream(t, "three")), "dead")
+	eventually(t, "all losses are recorded", func() bool { return gauge(i, "crash_digests", "") == 2 })
+	if i.Refuses(digest, nil) {
+		t.Error("refused after one crash that no completed run followed")
+	}
+}
--- a/foxtaild/inspector/reports.go
+++ b/foxtaild/inspector/reports.go
@@ -91,6 +91,9 @@
 	r.update(func(q *quarantiner.Quarantiner) (send bool) {
 		now := time.Now()
 		for _, d := range digests {
+			if d == 0 {
+				continue
+			}
 			d := quarantiner.Digest(d)
 			before := q.Verdict(d, now)
 			if q.RecordBegun(d, now) {
@@ -104,14 +107,6 @@
 	})
 }
 
-// recordComplete records that an upstream has run a request with success.
-func (r *Reports) recordComplete(digest uint64) {
-	if digest == 0 || r.digests.Load() == 0 {
-		return
-	}
-	r.update(func(q *quarantiner.Quarantiner) bool { return q.RecordComplete(quarantiner.Digest(digest)) })
-}
-
 // Changed returns a channel that receives a value when this host has new reports.
 func (r *Reports) Changed() <-chan struct{} { return r.changed }
 
