--- a/foxtaild/connector/stall.go
+++ b/foxtaild/connector/stall.go
@@ -10,9 +10,9 @@
 
 // Watcher follows how a connection is read.
 type Watcher interface {
-	// Patience returns how long a read waits for the next byte before Stalled is
+	// StallTimeout returns how long a read waits for the next byte before Stalled is
 	// called.
-	Patience() time.Duration
+	StallTimeout() time.Duration
 	// Stalled is called when no byte has arrived for that time, or after Wake. The
 	// read goes on unless it returns an error, with which the read then ends.
 	Stalled() error
@@ -35,14 +35,14 @@
 
 // setDeadline sets the deadline of the next read of the connection. It returns false
 // if Stalled must be called first.
-func (r *watchedReader) setDeadline(patience time.Duration) bool {
+func (r *watchedReader) setDeadline(stallTimeout time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.woken {
 		r.woken = false
 		return false
 	}
-	d := time.Now().Add(patience)
+	d := time.Now().Add(stallTimeout)
 	if r.deadline.Before(d) {
 		d = r.deadline
 	}
@@ -59,7 +59,7 @@
 		return r.Conn.Read(p)
 	}
 	for {
-		if r.setDeadline(w.Patience()) {
+		if r.setDeadline(w.StallTimeout()) {
 			n, err := r.Conn.Read(p)
 			if n > 0 {
 				w.Resumed()
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -128,24 +128,6 @@
 	a.recordRun(res)
 }
 
-// recordRun reports to the quarantine how a run ended at the upstream. An error of
-// the upstream's own is not reported: it may precede the run.
-func (a *attempt) recordRun(res attemptResult) {
-	switch {
-	case a.upstream.ID == "":
-	case res.ending == coordinator.ConnectionLost, res.ending == coordinator.TimedOut:
-		a.quarantine.RecordLoss(Loss{Digest: a.r.Digest, Parts: a.suspectParts(res.lostBy), Upstream: a.upstream, Sent: a.start})
-	case res.ending != coordinator.Complete, res.status/100 != 2:
-	case a.r.Route.Kind == router.Streaming && a.finish.FirstToken == 0:
-		// A stream without events may be one that the upstream's crash has ended.
-	default:
-		if a.r.Route.Kind != router.Streaming {
-			a.quarantine.RecordBegun(a.r.Parts)
-		}
-		a.quarantine.RecordComplete(a.r.Digest)
-	}
-}
-
 // reusable reports whether the connection can carry another request: the request has
 // been written completely.
 func (a *attempt) reusable() bool {
--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -64,8 +64,8 @@
 	search *search
 	// searched reports whether there was one since the last byte.
 	searched bool
-	// patientUntil is when the time that Patience last returned is over.
-	patientUntil time.Time
+	// stalledFrom is when the last timeout of a read ends.
+	stalledFrom time.Time
 }
 
 // watch starts to watch the attempt's connection. The returned function ends that.
@@ -85,16 +85,16 @@
 		(w.phase == awaitingHead || w.phase == awaitingEvent)
 }
 
-// Patience returns how long the upstream may be silent until another one is looked
+// StallTimeout returns how long the upstream may be silent until another one is looked
 // for.
-func (w *watcher) Patience() time.Duration {
-	d := w.patience()
-	w.patientUntil = time.Now().Add(d)
+func (w *watcher) StallTimeout() time.Duration {
+	d := w.phaseTimeout()
+	w.stalledFrom = time.Now().Add(d)
 	return d
 }
 
-// patience returns the time for Patience.
-func (w *watcher) patience() time.Duration {
+// phaseTimeout returns the timeout for the part of the response that is awaited.
+func (w *watcher) phaseTimeout() time.Duration {
 	route := w.r.Route
 	switch {
 	case w.phase == awaitingEnd:
@@ -114,7 +114,7 @@
 func (w *watcher) Stalled() error {
 	if w.search == nil {
 		// A search that was withdrawn may still wake the read.
-		if time.Now().Before(w.patientUntil) {
+		if time.Now().Before(w.stalledFrom) {
 			return nil
 		}
 		if w.phase == awaitingEnd {
