quarantiner, inspector: a refused part does not count where others explain its crashes

What callers saw: beside two parts that crash upstreams, a sound part is refused with them, also in requests that have neither.

From then on no request with it runs, so that no answer can clear it.

Tried first: one other refused part explains all crashes of the part.

Change: each crash may be explained by another refused part that the request lacks and that has at least as many crashes. A part is not explained where the host may lack reports on it: it holds fewer than another host has counted, or as many as are kept. Whole requests are judged as before.

Change to the tests: the simulated host decides by RefusesParts as the inspector does; checks and bounds are as before.

--- a/foxtaild/inspector/inspector.go
+++ b/foxtaild/inspector/inspector.go
@@ -103,7 +103,7 @@
 
 // Refuses reports whether requests with a digest and parts must not run.
 func (i *Inspector) Refuses(digest uint64, parts []uint64) bool {
-	return i.requests.refuses(digest) || i.parts.refuses(parts...)
+	return i.requests.refuses(digest) || i.parts.refusesParts(parts)
 }
 
 // RecordLoss records that the connection of a request was lost or that no response
--- a/foxtaild/inspector/parts_test.go
+++ b/foxtaild/inspector/parts_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// TestSoundPartIsServedBesideTwoCrashingOnes loses requests with one of two crashing
+// parts in turn, as many with another part as without it.
+func TestSoundPartIsServedBesideTwoCrashingOnes(t *testing.T) {
+	const secondPart = 23
+	i := startInspector(t, "/health")
+	for n := range partCrashes + 1 {
+		crashing := uint64(part + n%2*(secondPart-part))
+		losePart(t, i, 2*n, otherPart, crashing)
+		losePart(t, i, 2*n+1, crashing)
+	}
+	eventually(t, "the parts have been confirmed", func() bool { return gauge(i, "crash_parts_confirmed", "") == 3 })
+	if i.Refuses(1, []uint64{otherPart}) {
+		t.Error("request with the sound part alone is refused")
+	}
+	for _, crashing := range []uint64{part, secondPart} {
+		if !i.Refuses(1, []uint64{crashing}) || !i.Refuses(1, []uint64{otherPart, crashing}) {
+			t.Errorf("a request with part %d is not refused", crashing)
+		}
+	}
+}
+
 // TestKnownPartIsQuarantinedLater lets an answer begin on a part before the crashes
 // and none between them.
 func TestKnownPartIsQuarantinedLater(t *testing.T) {
--- a/foxtaild/inspector/reports.go
+++ b/foxtaild/inspector/reports.go
@@ -33,21 +33,31 @@
 	return &Reports{log: log, logKey: logKey, gaugeName: gaugeName, changed: make(chan struct{}, 1), reports: quarantiner.New(opts...)}
 }
 
-// refuses reports whether requests with any of some digests must not run. The digest
-// 0 means none.
-func (r *Reports) refuses(digests ...uint64) bool {
-	if len(digests) == 0 || r.confirmed.Load() == 0 {
+// refuses reports whether requests with a digest must not run. The digest 0 means none.
+func (r *Reports) refuses(digest uint64) bool {
+	if digest == 0 || r.confirmed.Load() == 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	for _, d := range digests {
-		if d != 0 && r.reports.Verdict(quarantiner.Digest(d), now) == quarantiner.Refused {
-			return true
+	return r.reports.Verdict(quarantiner.Digest(digest), time.Now()) == quarantiner.Refused
+}
+
+// refusesParts reports whether requests with some parts must not run. The part 0 means
+// none.
+func (r *Reports) refusesParts(parts []uint64) bool {
+	if len(parts) == 0 || r.confirmed.Load() == 0 {
+		return false
+	}
+	digests := make([]quarantiner.Digest, 0, len(parts))
+	for _, p := range parts {
+		if p != 0 {
+			digests = append(digests, quarantiner.Digest(p))
 		}
 	}
-	return false
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reports.RefusesParts(time.Now(), digests...)
 }
 
 // update applies a change to the reports. If the function returns true, the
--- a/scheduler/quarantiner/doc.go
+++ b/scheduler/quarantiner/doc.go
@@ -28,7 +28,10 @@
 //     sent before. Each host remembers for a while when answers began (history.go),
 //     so that this includes reports that arrive later;
 //   - a part on which an answer had begun before a crash is known and has a higher
-//     threshold. A report says so, so that all hosts use the same threshold.
+//     threshold. A report says so, so that all hosts use the same threshold;
+//   - a refused part does not end a request if each of its crashes is also one of
+//     another refused part, with at least as many, that the request lacks
+//     (explanation.go).
 //
 // Digests are hashes; no part of a request is stored.
 package quarantiner
--- a/scheduler/quarantiner/partfleet_test.go
+++ b/scheduler/quarantiner/partfleet_test.go
@@ -141,14 +141,12 @@
 // happens reports whether an event with a rate per second happens in a tick.
 func (f *partFleet) happens(rate float64) bool { return f.rand.Float64() < rate*tick.Seconds() }
 
-// request sends a request to a host. It returns whether it runs, which the host
-// refuses if it refuses one of the parts.
+// request sends a request to a host. It returns whether it runs rather than being
+// refused for one of its parts.
 func (f *partFleet) request(host int, parts ...quarantiner.Digest) bool {
 	n := f.nodes[host]
-	for _, d := range parts {
-		if n.Verdict(d, f.clock(host)) == quarantiner.Refused {
-			return false
-		}
+	if n.RefusesParts(f.clock(host), parts...) {
+		return false
 	}
 	f.running = append(f.running, run{
 		host: host, process: n, parts: parts, upstream: f.rand.IntN(len(f.upstreams)),
