quarantiner: a burst of crashes does not hide later ones

What callers would see: a request, or a part of prompts, that crashes upstreams is never refused, if many runs of it had crashed upstreams at once before.

Cause: reports are kept up to a number for each digest, and a new one was dropped if all kept ones were uncleared. Crashes at the same time count once, so after a burst the count stayed at one for as long as the reports are kept.

A full record now gives up the oldest cleared report, or else the latest one that does not count because another crash at the same time does.

--- a/scheduler/quarantiner/quarantiner.go
+++ b/scheduler/quarantiner/quarantiner.go
@@ -217,26 +217,34 @@
 		q.records[d] = r
 		q.evict(d)
 	}
-	if r.reports[upstream] != nil || len(r.reports) >= q.maxReports() && !q.removeCleared(d) {
+	if r.reports[upstream] != nil {
 		return false
 	}
 	x.cleared = x.cleared || q.history.begunAfter(d, x.sent)
 	r.reports[upstream] = &x
-	return true
+	if len(r.reports) > q.maxReports() {
+		q.removeReport(d)
+	}
+	return r.reports[upstream] != nil
 }
 
-// removeCleared removes the oldest cleared report of a digest and returns whether
-// there was one.
-func (q *Quarantiner) removeCleared(d Digest) bool {
+// removeReport removes a report of a digest that does not count: the oldest cleared one,
+// or else the latest that is not counted, as another crash at the same time is. If all
+// count it removes the latest.
+func (q *Quarantiner) removeReport(d Digest) {
 	r := q.records[d]
-	for _, upstream := range r.byTime() {
-		if r.reports[upstream].cleared {
-			delete(r.reports, upstream)
-			delete(q.unsent, reportKey{d, upstream})
-			return true
+	upstreams, counted := r.byTime(), r.counted()
+	i := slices.IndexFunc(upstreams, func(u uint64) bool { return r.reports[u].cleared })
+	for j := len(upstreams) - 1; i < 0 && j >= 0; j-- {
+		if !slices.Contains(counted, upstreams[j]) {
+			i = j
 		}
 	}
-	return false
+	if i < 0 {
+		i = len(upstreams) - 1
+	}
+	delete(r.reports, upstreams[i])
+	delete(q.unsent, reportKey{d, upstreams[i]})
 }
 
 // RecordComplete records that a request with the digest has run and completed. It
--- a/scheduler/quarantiner/record.go
+++ b/scheduler/quarantiner/record.go
@@ -54,12 +54,25 @@
 	})
 }
 
+// counted returns the upstream processes of the reports that count: the largest set of
+// uncleared runs that follow each other.
+func (r *record) counted() (upstreams []uint64) {
+	last := (*report)(nil)
+	for _, upstream := range r.byTime() {
+		if x := r.reports[upstream]; !x.cleared && (last == nil || x.follows(last)) {
+			last = x
+			upstreams = append(upstreams, upstream)
+		}
+	}
+	return upstreams
+}
+
 // count sets crashes to the size of the largest set of runs that follow each
 // other, or to what another host has counted if that is more. It ignores counts of
 // other hosts that may include a report that has been cleared.
 func (r *record) count() {
-	r.crashes, r.lastCrash, r.lastReport, r.known = 0, time.Time{}, time.Time{}, false
-	counted, most, cleared := (*report)(nil), 0, false
+	r.lastCrash, r.lastReport, r.known = time.Time{}, time.Time{}, false
+	most, cleared := 0, false
 	for _, upstream := range r.byTime() {
 		x := r.reports[upstream]
 		r.lastReport = x.lost
@@ -68,14 +81,10 @@
 			cleared = true
 			continue
 		}
-		if counted == nil || x.follows(counted) {
-			counted = x
-			r.crashes++
-		}
 		if !cleared {
 			most = max(most, x.crashes)
 		}
 		r.lastCrash = x.lost
 	}
-	r.crashes = max(r.crashes, most)
+	r.crashes = max(len(r.counted()), most)
 }
