--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -83,8 +83,10 @@
 			push(response{})
 		}
 		if f.Fetch {
+			// The requester repeats its request until it is no longer behind, so a
+			// snapshot that would have to wait for earlier responses is left out.
 			if u := l.encodeUpdate(directory.Cursor{}, time.Now()); u.snapshot != nil {
-				push(response{Snapshot: u.snapshot})
+				_ = fol.push(response{Snapshot: u.snapshot})
 			}
 		}
 		if f.Follow {
