linker, platform: hosts that start together don't all list the store

Cause: while views form, many hosts consider themselves the oldest and list the store; 0.9 s after their start all others do. 45 listings of a large configuration share the region's link.

--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/detector"
 )
@@ -24,8 +26,11 @@
 	// store.
 	storeReaders = 2
 	// firstSnapshotTimeout is how long a host that has just started waits for
-	// its first snapshot before it reads the store itself.
+	// its first snapshot before it reads the store itself. If the failure domain has
+	// readers, up to firstReadSpread more for each of its live hosts is added, so that
+	// hosts which start together don't all read at once.
 	firstSnapshotTimeout = 900 * time.Millisecond
+	firstReadSpread      = 250 * time.Millisecond
 	// settleTime is how long a host that has just started listens for others
 	// before it may conclude that it is the oldest of its failure domain.
 	settleTime = 250 * time.Millisecond
@@ -50,7 +55,23 @@
 	if l.view.Load().isReader(l.settings.Address) {
 		return true
 	}
-	return age > firstSnapshotTimeout && !l.directory.PeerSyncedWithin(now, l.maxFeedAge())
+	wait := firstSnapshotTimeout
+	if !l.directory.Loaded() {
+		wait += l.firstReadDelay()
+	}
+	return age > wait && !l.directory.PeerSyncedWithin(now, l.maxFeedAge())
+}
+
+// firstReadDelay returns how much longer than firstSnapshotTimeout this host waits for
+// its first snapshot. It depends on the host's name.
+func (l *Linker) firstReadDelay() time.Duration {
+	live := 0
+	for _, m := range l.view.Load().members {
+		if m.Domain == l.settings.Domain && m.Status == detector.Alive {
+			live++
+		}
+	}
+	return time.Duration(xxhash.Sum64String(l.settings.Host) % uint64(time.Duration(live)*firstReadSpread+1))
 }
 
 // maxFeedAge returns the maximum age of the updates from peers.
