forwarder: a silent upstream is not replaced by itself

What callers saw: a stream was broken off although its upstream was sound and silent for a moment.

Cause: a takeover excluded the silent upstream by its ID, not by its address. Of two entries with one address one is outdated, so the grant goes back unused.

Evidence: TestSilentUpstreamIsNotReplacedByItself failed before (aborted, and two requests at the upstream).

--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -175,6 +175,12 @@
 // and this attempt's is still silent, it closes the connection of this attempt and
 // returns true.
 func (a *attempt) takeOver(ctx context.Context, g Grant) bool {
+	if e, ok := a.directory.Usable(g.Upstream, time.Now()); ok && e.Address == a.upstream.Address {
+		// One of the two entries is outdated: the silent upstream would get the request again.
+		a.tried = append(a.tried, g.Upstream)
+		g.ReportFinish(coordinator.Finish{Ending: coordinator.Unused})
+		return false
+	}
 	b, ctx := a.newAttempt(ctx, g)
 	res, ok := b.send(ctx)
 	if ok {
--- a/foxtaild/forwarder/takeover_test.go
+++ b/foxtaild/forwarder/takeover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,3 +122,40 @@
 		t.Errorf("%d of %d grants were returned (%v); the caller received %q", len(s.admitter.finishes), n, s.admitter.finishes, r.outcome())
 	}
 }
+
+// TestSilentUpstreamIsNotReplacedByItself grants an outdated entry with the address of
+// the silent upstream, which rejects that request once it goes on.
+func TestSilentUpstreamIsNotReplacedByItself(t *testing.T) {
+	s, a := newTakeoverFixture(t)
+	var once sync.Once
+	decided := make(chan struct{})
+	a.admit = func(context.Context) (string, error) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if len(a.finishes) == 0 {
+			return "outdated", nil
+		}
+		once.Do(func() { close(decided) })
+		return "", nil
+	}
+	var requests atomic.Int32
+	address := startUpstream(t, func(c net.Conn, id string) {
+		if requests.Add(1) > 1 {
+			once.Do(func() { time.AfterFunc(time.Second, func() { close(decided) }) })
+			<-decided
+			_, _ = io.WriteString(c, strings.ReplaceAll(response(421, "", ""), "%ID", id))
+			return
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead+events(0, 2), "%ID", id))
+		<-decided
+		_, _ = io.WriteString(c, events(3, 5)+"0\r\n\r\n")
+	})
+	s.put("first", address)
+	s.put("outdated", address)
+	if got, want := s.serve(resumable, "id-1").outcome(), "200 "+relayedEvents(0, 5); got != want {
+		t.Errorf("the caller received %q, want %q", got, want)
+	}
+	if n := requests.Load(); n != 1 {
+		t.Errorf("the upstream received %d requests, want 1", n)
+	}
+}
