forwarder: an upstream's error does not complete a resumed stream

Callers could see a stream whose events were followed by the body of an error and a regular end (MIXED, ORDER), logged as complete, or without a trace in the logs of LOST.

Cause: relayWhole delivers any response below 500, whether or not the caller has already received events.

Change: such a response ends the attempt as failed; another attempt or the abort follows. A line 'stream not resumed' names the status.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -224,6 +224,9 @@
 		a.phase = awaitingEvent
 		return a.relayStream(ctx, resp)
 	}
+	if a.headSent {
+		return a.endFailed()
+	}
 	a.phase = awaitingBody
 	return a.relayWhole(ctx, resp, a.info)
 }
@@ -312,6 +315,14 @@
 	return attemptResult{ending: coordinator.Rejected}
 }
 
+// endFailed ends an attempt to which the upstream has responded with an error that
+// can't be relayed, as the caller has already received events of the stream.
+func (a *attempt) endFailed() attemptResult {
+	a.refusal = Refusal{Outcome: Unknown, Reason: "upstreamFailed", RetryAfter: defaultRetryAfter}
+	a.log.Info("stream not resumed", "id", a.r.ID, "upstream", a.grant.Upstream, "status", a.response.StatusCode, "after", a.lastEventID)
+	return attemptResult{ending: coordinator.Failed, status: a.response.StatusCode}
+}
+
 // endLost ends an attempt whose request may have run and whose response was
 // lost, or that another one has taken over.
 func (a *attempt) endLost(ctx context.Context, err error) attemptResult {
