--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -142,24 +141,6 @@
 	}
 }
 
-// endUnused ends an attempt in which no byte was sent.
-func (a *attempt) endUnused(reason string) attemptResult {
-	a.refuse(Refusal{Outcome: NotRun, Reason: reason, RetryAfter: defaultRetryAfter})
-	return attemptResult{ending: coordinator.Unused}
-}
-
-// endUnreached ends an attempt whose upstream could not be connected to.
-func (a *attempt) endUnreached(ctx context.Context, err error) attemptResult {
-	a.refuse(Refusal{Outcome: NotRun, Reason: "unreached", RetryAfter: defaultRetryAfter})
-	if ctx.Err() != nil {
-		a.setContextRefusal(ctx)
-		return attemptResult{ending: coordinator.Unused, final: true}
-	}
-	a.log.Info("upstream unreached", "id", a.r.ID, "upstream", a.grant.Upstream, "error", err.Error())
-	a.tried = append(a.tried, a.grant.Upstream)
-	return attemptResult{ending: coordinator.ConnectFailed}
-}
-
 // send connects to the upstream and sends the request. It returns false if the
 // attempt ends with a result.
 func (a *attempt) send(ctx context.Context) (res attemptResult, ok bool) {
@@ -305,49 +286,6 @@
 	}
 }
 
-// endRejected ends an attempt whose request the upstream has not run.
-func (a *attempt) endRejected() attemptResult {
-	a.possibleRuns--
-	a.refuse(Refusal{Outcome: NotRun, Reason: "upstreamRejected", RetryAfter: defaultRetryAfter})
-	if a.info.WrongUpstream {
-		return attemptResult{ending: coordinator.WrongUpstream}
-	}
-	return attemptResult{ending: coordinator.Rejected}
-}
-
-// endFailed ends an attempt to which the upstream has responded with an error that
-// can't be relayed, as the caller has already received events of the stream.
-func (a *attempt) endFailed() attemptResult {
-	a.refusal = Refusal{Outcome: Unknown, Reason: "upstreamFailed", RetryAfter: defaultRetryAfter}
-	a.log.Info("stream not resumed", "id", a.r.ID, "upstream", a.grant.Upstream, "status", a.response.StatusCode, "after", a.lastEventID)
-	return attemptResult{ending: coordinator.Failed, status: a.response.StatusCode}
-}
-
-// endLost ends an attempt whose request may have run and whose response was
-// lost, or that another one has taken over.
-func (a *attempt) endLost(ctx context.Context, err error) attemptResult {
-	if a.successor != nil {
-		a.refusal = Refusal{Outcome: TimedOut, Reason: "upstreamSilent", RetryAfter: defaultRetryAfter}
-		a.log.Info("request taken over", "id", a.r.ID, "from", a.grant.Upstream, "to", a.successor.grant.Upstream, "after", a.lastEventID)
-		return attemptResult{ending: coordinator.TimedOut, successor: a.successor}
-	}
-	if ctx.Err() != nil || !time.Now().Before(a.r.Deadline) {
-		a.setContextRefusal(ctx)
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return attemptResult{ending: coordinator.Cancelled, final: true}
-		}
-		return attemptResult{ending: coordinator.TimedOut, final: true}
-	}
-	res := attemptResult{ending: coordinator.ConnectionLost, lostBy: err}
-	a.refusal = Refusal{Outcome: Unknown, Reason: "answerLost", RetryAfter: defaultRetryAfter}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		res.ending = coordinator.TimedOut
-		a.refusal = Refusal{Outcome: TimedOut, Reason: "upstreamSilent", RetryAfter: defaultRetryAfter}
-	}
-	a.log.Info("answer lost", "id", a.r.ID, "upstream", a.grant.Upstream, "ending", res.ending.String(), "after", a.lastEventID, "reused", a.conn.Reused(), "digest", a.r.logDigest(), "parts", a.r.logParts(), "error", err.Error())
-	return res
-}
-
 // relayWhole reads a whole response and relays it. It keeps a 5xx response
 // instead, as the request may be tried at another upstream.
 func (a *attempt) relayWhole(ctx context.Context, resp *http.Response, info ResponseInfo) attemptResult {
