--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -150,7 +150,7 @@
 	}
 	conn, err := a.connector.Get(ctx, a.grant.Upstream, entry.Address)
 	if err != nil {
-		return a.endUnreached(ctx, err), false
+		return a.endUnreached(ctx, entry.Version, err), false
 	}
 	a.conn = conn
 	a.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -173,7 +173,7 @@
 	}
 	_ = a.conn.SetDeadline(a.r.Deadline)
 	head := a.codec.Encode(make([]byte, 0, headBufferBytes), a.r, Dispatch{Upstream: entry, Remaining: left, LastEventID: a.lastEventID, Trace: traceContext(ctx)})
-	a.tried = append(a.tried, a.grant.Upstream)
+	a.markTried(a.grant.Upstream, entry.Version)
 	a.dispatched++
 	a.possibleRuns++
 	a.start, a.upstream = now, entry
--- a/foxtaild/forwarder/ending.go
+++ b/foxtaild/forwarder/ending.go
@@ -16,14 +16,14 @@
 }
 
 // endUnreached ends an attempt whose upstream could not be connected to.
-func (a *attempt) endUnreached(ctx context.Context, err error) attemptResult {
+func (a *attempt) endUnreached(ctx context.Context, version string, err error) attemptResult {
 	a.refuse(Refusal{Outcome: NotRun, Reason: "unreached", RetryAfter: defaultRetryAfter})
 	if ctx.Err() != nil {
 		a.setContextRefusal(ctx)
 		return attemptResult{ending: coordinator.Unused, final: true}
 	}
 	a.log.Info("upstream unreached", "id", a.r.ID, "upstream", a.grant.Upstream, "error", err.Error())
-	a.tried = append(a.tried, a.grant.Upstream)
+	a.markTried(a.grant.Upstream, version)
 	return attemptResult{ending: coordinator.ConnectFailed}
 }
 
@@ -66,6 +66,6 @@
 		res.ending = coordinator.TimedOut
 		a.refusal = Refusal{Outcome: TimedOut, Reason: "upstreamSilent", RetryAfter: defaultRetryAfter}
 	}
-	a.log.Info("answer lost", "id", a.r.ID, "upstream", a.grant.Upstream, "ending", res.ending.String(), "after", a.lastEventID, "reused", a.conn.Reused(), "digest", a.r.logDigest(), "parts", a.r.logParts(), "error", err.Error())
+	a.log.Info("answer lost", "id", a.r.ID, "upstream", a.grant.Upstream, "upstreamVersion", a.upstream.Version, "ending", res.ending.String(), "after", a.lastEventID, "reused", a.conn.Reused(), "digest", a.r.logDigest(), "parts", a.r.logParts(), "error", err.Error())
 	return res
 }
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -150,9 +150,11 @@
 	r         *Request
 	responder Responder
 	// dispatched counts the attempts in which the request was sent. tried lists
-	// the upstreams that it was sent to and those that could not be reached.
+	// the upstreams that it was sent to and those that could not be reached, and
+	// versions those of their software.
 	dispatched int
 	tried      []string
+	versions   []string
 	// possibleRuns is the number of upstreams that may have run the request.
 	possibleRuns int
 	// responseStarted reports whether an upstream has begun to respond.
@@ -233,9 +235,9 @@
 		"id", r.ID, "route", r.Route.Name, "kind", r.Route.Kind.String(), "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", r.Pool,
 		"outcome", outcome, "status", res.Status, "reason", h.refusal.Reason,
 		"retryAfterMs", h.refusal.RetryAfter.Milliseconds(),
-		"prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
+		"resumes", r.Resumes, "after", r.LastEventID, "prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
 		"waitedMs", h.waited.Milliseconds(), "firstMs", h.firstEvent.Milliseconds(), "pauseMs", h.longestPause.Milliseconds(), "tookMs", took.Milliseconds(),
-		"owner", h.owner, "upstreams", h.tried, "endings", h.endings, "digest", r.logDigest(), "parts", r.logParts())
+		"owner", h.owner, "upstreams", h.tried, "upstreamVersions", h.versions, "endings", h.endings, "digest", r.logDigest(), "parts", r.logParts())
 	upstream := ""
 	if len(h.tried) > 0 {
 		upstream = h.tried[len(h.tried)-1]
@@ -306,6 +308,12 @@
 	return g, false
 }
 
+// markTried excludes an upstream from further attempts.
+func (h *handler) markTried(id, version string) {
+	h.tried = append(h.tried, id)
+	h.versions = append(h.versions, version)
+}
+
 // admission returns the admission request for another upstream than those tried.
 func (h *handler) admission(now time.Time) coordinator.Request {
 	r := h.r
--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -177,7 +177,7 @@
 func (a *attempt) takeOver(ctx context.Context, g Grant) bool {
 	if e, ok := a.directory.Usable(g.Upstream, time.Now()); ok && e.Address == a.upstream.Address {
 		// One of the two entries is outdated: the silent upstream would get the request again.
-		a.tried = append(a.tried, g.Upstream)
+		a.markTried(g.Upstream, e.Version)
 		g.ReportFinish(coordinator.Finish{Ending: coordinator.Unused})
 		return false
 	}
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -42,6 +42,9 @@
 	// LastEventID is the ID of the last stream event that the caller has
 	// received, or NoEvent.
 	LastEventID int64
+	// Resumes is the ID of the request that brought the caller the first event of
+	// the stream which this one takes up again, empty if there is none.
+	Resumes string
 	// Cost is charged to the workspace's quota, in tokens.
 	Cost float64
 	// Prompt is the number of prompt tokens and Output the expected number of
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -26,6 +26,9 @@
 	Pool    string
 	Address string
 	Domain  string
+	// Version is the version of the upstream's software, empty if it does not say.
+	// Versions have no order.
+	Version string
 	Slots   int
 	// Leaving upstreams receive no new requests.
 	Leaving bool
