pinner, forwarder, coordinator: the parts that streams' origins are built from

A stream may go on only in the pool and at the software version that began it. pinner holds what a host knows of that: records with copies at other hosts, found by rendezvous hashing, and for each route a watch of the origins that were possible. The forwarder gets a port for it and the admission request the version that it needs. Nothing uses them yet; tests follow with each part.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -65,6 +65,7 @@
 	codec     Codec
 	connector *connector.Connector
 	directory Directory
+	origins   Origins
 	// quarantine refuses requests that crash upstreams.
 	quarantine Quarantine
 	log        *slog.Logger
@@ -122,11 +123,17 @@
 	return func(f *Forwarder) { f.quarantine = q }
 }
 
+// WithOrigins sets what knows where streams began. Without it no caller can take a
+// stream up again.
+func WithOrigins(o Origins) Option {
+	return func(f *Forwarder) { f.origins = o }
+}
+
 // New returns a forwarder.
 func New(a Admitter, c Codec, conns *connector.Connector, d Directory, log *slog.Logger, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		admitter: a, codec: c, connector: conns, directory: d, log: log,
-		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes, quarantine: noQuarantine{},
+		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes, quarantine: noQuarantine{}, origins: noOrigins{},
 		observe: func(contract.Explanation, time.Duration) {},
 	}
 	for _, opt := range opts {
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/pinner"
 	"foxtaillug.org/scheduler/registrar"
 	"foxtaillug.org/scheduler/router"
 )
@@ -45,6 +46,10 @@
 	// Resumes is the ID of the request that brought the caller the first event of
 	// the stream which this one takes up again, empty if there is none.
 	Resumes string
+	// Stream identifies the stream that the request begins, and ResumedStream the one
+	// that Resumes began. All hosts derive the same keys from the same requests, and
+	// those of different callers and targets differ.
+	Stream, ResumedStream pinner.Key
 	// Cost is charged to the workspace's quota, in tokens.
 	Cost float64
 	// Prompt is the number of prompt tokens and Output the expected number of
@@ -221,6 +226,32 @@
 	RecordComplete(digest uint64)
 }
 
+// StreamID identifies a stream among those of all hosts.
+type StreamID struct {
+	Key pinner.Key
+	// Route is the name of the stream's route.
+	Route string
+}
+
+// Origins knows in which pool and at which software version streams began, also those
+// that other hosts served. It is safe for concurrent use.
+type Origins interface {
+	// Record records the origin of a stream that this host serves. It is kept until a
+	// time, and sent to other hosts in the background.
+	Record(s StreamID, o pinner.Origin, until time.Time)
+	// Find returns the origin of a stream that a caller takes up again. It returns false
+	// if no host that it reaches in time knows it.
+	Find(ctx context.Context, s StreamID) (o pinner.Origin, ok bool)
+}
+
+// noOrigins knows no stream.
+type noOrigins struct{}
+
+func (noOrigins) Record(StreamID, pinner.Origin, time.Time) {}
+func (noOrigins) Find(context.Context, StreamID) (o pinner.Origin, ok bool) {
+	return o, false
+}
+
 // noQuarantine refuses nothing.
 type noQuarantine struct{}
 
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -31,6 +31,9 @@
 	Repeat bool
 	// Exclude lists upstreams that must not be tried again.
 	Exclude []string
+	// Version is the software version that the upstream must have, as a stream goes on
+	// only at the version that began it; empty means any.
+	Version string
 	// Regions lists the regions that may serve the request; empty means any.
 	Regions []string
 	// Digest identifies the request's content for owners that quarantine requests,
