pinner: a host no longer finds a sole origin where streams of another may live

Cause, from tests that failed on the code before: - A shorter window held at once, so origins whose streams began under the longer one were forgotten too soon. A longer one was taken to be covered by a watch that had forgotten after the shorter. - Origins were forgotten one window after this host saw them leave, although other hosts that are behind or cut off from the store still begin streams there. - An observation with an outdated directory began a watch, so that the time until the next one counted. - A gap or a route that left made a host forget that it had seen several origins. - A record that had expired and was not pruned made a new stream with its ID unknown.

Change: watches move to a file of their own. Origins count for the window and 30 s more; the window is the longest one that streams may still be subject to; a gap begins the time anew but forgets nothing. An unknown answer carries the only origin seen. Records are shared until a sole origin has stood for 3.1 s, as hosts find it at different times: a host that stopped sharing first had streams that others called unknown.

Evidence: TestWatchOfRoute (15 cases, some only for the origin in an unknown answer), TestRecordOfStream (2) and TestUnsharedRecords (1) failed before, `cd scheduler && go test ./pinner`; all pass.

--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -2,18 +2,12 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
-const (
-	// maxObservationGap is the longest time between two observations that still make
-	// up one watch. A host that was suspended for longer may have missed an origin.
-	maxObservationGap = time.Second
-	// maxRecords bounds the records of a host. At 50 streams a second that last 15 s,
-	// with three copies each, a host holds 3,000.
-	maxRecords = 1 << 16
-)
+// maxRecords bounds the records of a host. At 50 streams a second that last 15 s, with
+// three copies each, a host holds 3,000.
+const maxRecords = 1 << 16
 
 // Key identifies a stream by the request that brought its first event.
 type Key uint64
@@ -37,26 +31,19 @@
 	unshared bool
 }
 
-// watch holds the origins that have been possible for the streams of a route.
-type watch struct {
-	// since is when the watch began without a gap.
-	since time.Time
-	// possible are those at the last observation, and lastSeen says when each origin
-	// was possible last.
-	possible []Origin
-	lastSeen map[Origin]time.Time
-}
-
 // Pinner is what a host knows of the origins of streams. It is not safe for concurrent
 // use.
 type Pinner struct {
 	records map[Key]record
 	watches map[string]*watch
 	// observedAt is the time of the last observation, zero if the directory was not up
-	// to date then. window is the longest time for which a stream may go on.
+	// to date then.
 	observedAt time.Time
-	window     time.Duration
-	dropped    uint64
+	// window is the longest time for which a stream may go on, the first of windows,
+	// which get shorter.
+	window  time.Duration
+	windows []windowUse
+	dropped uint64
 }
 
 // New returns a pinner that knows nothing.
@@ -67,7 +54,7 @@
 // Record keeps the origin of a stream that this host serves on a route. It is an event of
 // the stream's start, and of each time at which the stream goes on.
 func (p *Pinner) Record(k Key, route string, o Origin, until, now time.Time) {
-	old, known := p.records[k]
+	old, known := p.live(k, now)
 	if known && old.origin != o {
 		// The caller has used the ID of a request again.
 		o = Origin{}
@@ -77,7 +64,7 @@
 
 // Receive keeps the copy of a record that another host has sent.
 func (p *Pinner) Receive(k Key, o Origin, until, now time.Time) {
-	old, known := p.records[k]
+	old, known := p.live(k, now)
 	switch {
 	case !known:
 		p.put(k, record{origin: o, until: until}, now)
@@ -90,6 +77,14 @@
 	}
 }
 
+// live returns the record of a stream that can still be taken up.
+func (p *Pinner) live(k Key, now time.Time) (r record, ok bool) {
+	if r, ok = p.records[k]; !ok || !now.Before(r.until) {
+		return record{}, false
+	}
+	return r, true
+}
+
 // put adds or replaces a record. If there is no room for another one it is dropped.
 func (p *Pinner) put(k Key, r record, now time.Time) {
 	if _, known := p.records[k]; !known && len(p.records) >= maxRecords {
@@ -114,48 +109,11 @@
 // Dropped returns the number of records for which there was no room.
 func (p *Pinner) Dropped() uint64 { return p.dropped }
 
-// Observe records which origins are possible now for the streams of each route, as far as
-// the directory says, and whether the directory is up to date. The window is the longest
-// time for which a stream may go on. A route that is missing is watched anew when it
-// comes back.
-func (p *Pinner) Observe(possible map[string][]Origin, upToDate bool, window time.Duration, now time.Time) {
-	continuous := !p.observedAt.IsZero() && now.Sub(p.observedAt) <= maxObservationGap
-	p.window, p.observedAt = window, now
-	if !upToDate {
-		p.observedAt = time.Time{}
-	}
-	if !upToDate || !continuous {
-		clear(p.watches)
-	}
-	maps.DeleteFunc(p.watches, func(route string, _ *watch) bool { return possible[route] == nil })
-	for route, origins := range possible {
-		w := p.watches[route]
-		if w == nil {
-			w = &watch{since: now, lastSeen: make(map[Origin]time.Time)}
-			p.watches[route] = w
-		}
-		w.observe(origins, now)
-		maps.DeleteFunc(w.lastSeen, func(_ Origin, at time.Time) bool { return now.Sub(at) > window })
-	}
-}
-
-// observe records the origins that are possible now. Those of the last observation have
-// been so until now.
-func (w *watch) observe(origins []Origin, now time.Time) {
-	for _, o := range w.possible {
-		w.lastSeen[o] = now
-	}
-	w.possible = slices.Clone(origins)
-	for _, o := range origins {
-		w.lastSeen[o] = now
-	}
-}
-
 // Knowledge is what a host knows of the origin of a stream.
 type Knowledge uint8
 
 const (
-	// Unknown means that the host can say nothing.
+	// Unknown means that the host can't tell.
 	Unknown Knowledge = iota
 	// Recorded means that the host has a record of the stream.
 	Recorded
@@ -172,37 +130,19 @@
 type Answer struct {
 	Knowledge Knowledge
 	// Origin is set for Recorded and Sole. It is empty for a record that two streams
-	// claim.
+	// claim. For Unknown it is the only origin that the host has seen in a watch that is
+	// too short, if there is one: it confirms nothing, but contradicts others.
 	Origin Origin
 }
 
 // Answer returns what this host knows of the origin of a stream of a route.
 func (p *Pinner) Answer(k Key, route string, now time.Time) Answer {
-	if r, ok := p.records[k]; ok && now.Before(r.until) {
+	if r, ok := p.live(k, now); ok {
 		return Answer{Recorded, r.origin}
 	}
 	return p.watched(route, now)
 }
 
-// watched returns what the watch of a route says of its streams.
-func (p *Pinner) watched(route string, now time.Time) Answer {
-	w := p.watches[route]
-	if w == nil || now.Sub(p.observedAt) > maxObservationGap {
-		return Answer{}
-	}
-	switch {
-	case len(w.lastSeen) > 1:
-		return Answer{Knowledge: Mixed}
-	case len(w.lastSeen) == 1 && now.Sub(w.since) > p.window:
-		for o := range w.lastSeen {
-			if o.Version != "" {
-				return Answer{Sole, o}
-			}
-		}
-	}
-	return Answer{}
-}
-
 // Copy is a record for another host.
 type Copy struct {
 	Key    Key
@@ -212,18 +152,18 @@
 }
 
 // Unshared returns the records of this host's streams that other hosts need and have not
-// been sent, which they count as from now on. While a route has a sole origin, records of
-// its streams are not needed.
+// been sent, which they count as from now on. While a route has a sole origin, and other
+// hosts have had the time to find the same, records of its streams are not needed.
 func (p *Pinner) Unshared(now time.Time) (copies []Copy) {
-	sole := make(map[string]bool)
+	settled := make(map[string]bool)
 	for k, r := range p.records {
 		if !r.unshared || !now.Before(r.until) {
 			continue
 		}
-		if _, checked := sole[r.route]; !checked {
-			sole[r.route] = p.watched(r.route, now).Knowledge == Sole
+		if _, checked := settled[r.route]; !checked {
+			settled[r.route] = p.settled(r.route, now)
 		}
-		if sole[r.route] {
+		if settled[r.route] {
 			continue
 		}
 		r.unshared = false
--- /dev/null
+++ b/scheduler/pinner/pinner_test.go
@@ -0,0 +1,425 @@
+package pinner_test
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"foxtaillug.org/scheduler/internal/rapidseed"
+	"foxtaillug.org/scheduler/pinner"
+)
+
+func TestMain(m *testing.M) {
+	rapidseed.Fix()
+	os.Exit(m.Run())
+}
+
+const (
+	window = 15 * time.Second
+	// retention is for how long an origin that is gone counts, and settled after what
+	// time records are not shared any more.
+	retention = window + 30*time.Second
+	settled   = retention + 3*time.Second + interval
+	// interval is that of observations.
+	interval = 200 * time.Millisecond
+	route    = "chat"
+	key      = pinner.Key(7)
+)
+
+// start is the time at which the tests begin.
+var start = time.Unix(1000, 0)
+
+var (
+	first  = pinner.Origin{Pool: "m", Version: "v1"}
+	second = pinner.Origin{Pool: "m", Version: "v2"}
+	moved  = pinner.Origin{Pool: "n", Version: "v1"}
+	// versionless is the origin at an upstream whose version is not known.
+	versionless = pinner.Origin{Pool: "m"}
+)
+
+// watcher is a pinner with the time.
+type watcher struct {
+	*pinner.Pinner
+	now time.Time
+}
+
+// observe lets a route's origins be possible for some time.
+func (w *watcher) observe(d time.Duration, origins ...pinner.Origin) {
+	w.observeRoutes(d, window, true, map[string][]pinner.Origin{route: origins})
+}
+
+// observeRoutes observes the origins of all routes for some time.
+func (w *watcher) observeRoutes(d, window time.Duration, upToDate bool, possible map[string][]pinner.Origin) {
+	for end := w.now.Add(d); ; w.now = w.now.Add(interval) {
+		w.Observe(possible, upToDate, window, w.now)
+		if !w.now.Before(end) {
+			return
+		}
+	}
+}
+
+func sole(o pinner.Origin) pinner.Answer { return pinner.Answer{Knowledge: pinner.Sole, Origin: o} }
+
+func recorded(o pinner.Origin) pinner.Answer {
+	return pinner.Answer{Knowledge: pinner.Recorded, Origin: o}
+}
+func unknown(o pinner.Origin) pinner.Answer { return pinner.Answer{Origin: o} }
+
+var mixed = pinner.Answer{Knowledge: pinner.Mixed}
+
+func TestWatchOfRoute(t *testing.T) {
+	tests := map[string]struct {
+		do   func(w *watcher)
+		want pinner.Answer
+	}{
+		"nothing observed": {do: func(*watcher) {}},
+		"one origin for long": {
+			do:   func(w *watcher) { w.observe(retention+interval, first) },
+			want: sole(first),
+		},
+		"one origin, the host has just started": {
+			do:   func(w *watcher) { w.observe(retention, first) },
+			want: unknown(first),
+		},
+		"a second origin appears": {
+			do:   func(w *watcher) { w.observe(2*retention, first); w.observe(0, first, second) },
+			want: mixed,
+		},
+		"the second origin is gone for as long as its streams may last": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observe(0, second)
+				w.observe(window+interval, first)
+			},
+			want: mixed,
+		},
+		"the second origin is gone for longer than other hosts may use it": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observe(0, second)
+				w.observe(retention+2*interval, first)
+			},
+			want: sole(first),
+		},
+		"an origin without upstreams": {
+			do:   func(w *watcher) { w.observe(2*retention, first); w.observe(window) },
+			want: sole(first),
+		},
+		"an upstream without a version": {
+			do:   func(w *watcher) { w.observe(2*retention, versionless) },
+			want: unknown(versionless),
+		},
+		"a route moves to another pool": {
+			do:   func(w *watcher) { w.observe(2*retention, first); w.observe(0, moved) },
+			want: mixed,
+		},
+		"a route moves and comes back": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observe(0, moved)
+				w.observe(window, first)
+			},
+			want: mixed,
+		},
+		"a route leaves and comes back elsewhere": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observeRoutes(time.Second, window, true, nil)
+				w.observe(window, moved)
+			},
+			want: mixed,
+		},
+		"a route leaves and comes back": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observeRoutes(time.Second, window, true, nil)
+				w.observe(window, first)
+			},
+			want: unknown(first),
+		},
+		"a host was suspended": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.now = w.now.Add(2 * time.Second)
+				w.observe(window, first)
+			},
+			want: unknown(first),
+		},
+		"a host was suspended and has not observed since": {
+			do:   func(w *watcher) { w.observe(2*retention, first); w.now = w.now.Add(2 * time.Second) },
+			want: unknown(first),
+		},
+		"a host was suspended while versions were mixed": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first, second)
+				w.now = w.now.Add(2 * time.Second)
+				w.observe(0, first)
+			},
+			want: mixed,
+		},
+		"a host was suspended for long, and the version is another": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.now = w.now.Add(2 * retention)
+				w.observe(0, second)
+			},
+			want: unknown(second),
+		},
+		"the directory is not up to date": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observeRoutes(interval, window, false, map[string][]pinner.Origin{route: {first}})
+			},
+			want: unknown(first),
+		},
+		"the directory is not up to date while versions are mixed": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first, second)
+				w.observeRoutes(window, window, false, map[string][]pinner.Origin{route: {first, second}})
+			},
+			want: mixed,
+		},
+		"the directory has not been up to date for long": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first, second)
+				w.observeRoutes(retention+2*interval, window, false, map[string][]pinner.Origin{route: {first, second}})
+			},
+		},
+		"the directory is up to date again": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observeRoutes(interval, window, false, map[string][]pinner.Origin{route: {first}})
+				w.observe(retention, first)
+			},
+			want: unknown(first),
+		},
+		"streams may last longer from now on": {
+			do: func(w *watcher) {
+				w.observe(2*retention, first)
+				w.observe(0, second)
+				w.observe(retention+2*interval, first)
+				w.observeRoutes(0, 2*window, true, map[string][]pinner.Origin{route: {first}})
+			},
+			want: unknown(first),
+		},
+		"streams have lasted longer until now": {
+			do: func(w *watcher) {
+				possible := map[string][]pinner.Origin{route: {first}}
+				w.observeRoutes(2*retention, 4*window, true, map[string][]pinner.Origin{route: {first, second}})
+				w.observeRoutes(retention+2*interval, window, true, possible)
+			},
+			want: mixed,
+		},
+		"streams have lasted shorter in two steps": {
+			do: func(w *watcher) {
+				both := map[string][]pinner.Origin{route: {first, second}}
+				w.observeRoutes(interval, 6*window, true, both)
+				w.observeRoutes(6*window+retention-window-interval, 4*window, true, both)
+				w.observeRoutes(retention+2*interval, window, true, map[string][]pinner.Origin{route: {first}})
+			},
+			want: mixed,
+		},
+		"streams lasted longer once": {
+			do: func(w *watcher) {
+				possible := map[string][]pinner.Origin{route: {first}}
+				w.observeRoutes(0, 4*window, true, possible)
+				w.observeRoutes(retention+3*window, window, true, possible)
+				w.observe(0, second)
+				w.observe(retention+2*interval, first)
+			},
+			want: sole(first),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &watcher{pinner.New(), start}
+			test.do(w)
+			if got := w.Answer(key, route, w.now); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRecordOfStream(t *testing.T) {
+	until := start.Add(window)
+	tests := map[string]struct {
+		do   func(p *pinner.Pinner)
+		at   time.Duration
+		want pinner.Answer
+	}{
+		"own":      {do: func(p *pinner.Pinner) { p.Record(key, route, first, until, start) }, want: recorded(first)},
+		"received": {do: func(p *pinner.Pinner) { p.Receive(key, first, until, start) }, want: recorded(first)},
+		"expired":  {do: func(p *pinner.Pinner) { p.Record(key, route, first, until, start) }, at: window},
+		"the stream goes on": {
+			do: func(p *pinner.Pinner) {
+				p.Record(key, route, first, until, start)
+				p.Record(key, route, first, until.Add(window), start)
+			},
+			at:   window,
+			want: recorded(first),
+		},
+		"an older copy arrives late": {
+			do: func(p *pinner.Pinner) {
+				p.Record(key, route, first, until.Add(window), start)
+				p.Receive(key, first, until, start)
+			},
+			at:   window,
+			want: recorded(first),
+		},
+		"received before own": {
+			do: func(p *pinner.Pinner) {
+				p.Receive(key, first, until.Add(window), start)
+				p.Record(key, route, first, until, start)
+			},
+			at:   window,
+			want: recorded(first),
+		},
+		"two streams have one ID": {
+			do: func(p *pinner.Pinner) {
+				p.Record(key, route, first, until, start)
+				p.Record(key, route, second, until, start)
+			},
+			want: recorded(pinner.Origin{}),
+		},
+		"two streams have one ID, a copy comes from another host": {
+			do: func(p *pinner.Pinner) {
+				p.Record(key, route, first, until, start)
+				p.Receive(key, second, until, start)
+			},
+			want: recorded(pinner.Origin{}),
+		},
+		"two streams have one ID, three copies": {
+			do: func(p *pinner.Pinner) {
+				p.Receive(key, first, until, start)
+				p.Receive(key, second, until, start)
+				p.Receive(key, second, until, start)
+			},
+			want: recorded(pinner.Origin{}),
+		},
+		"an ID is used again after its stream": {
+			do: func(p *pinner.Pinner) {
+				p.Record(key, route, first, until, start)
+				p.Record(key, route, second, until.Add(window), until)
+			},
+			at:   window,
+			want: recorded(second),
+		},
+		"an ID is used again after its stream, copies": {
+			do: func(p *pinner.Pinner) {
+				p.Receive(key, first, until, start)
+				p.Receive(key, second, until.Add(window), until)
+			},
+			at:   window,
+			want: recorded(second),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := pinner.New()
+			test.do(p)
+			if got := p.Answer(key, route, start.Add(test.at)); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestUnsharedRecords(t *testing.T) {
+	record := func(w *watcher) { w.Record(key, route, first, w.now.Add(window), w.now) }
+	tests := map[string]struct {
+		do   func(w *watcher)
+		want []pinner.Copy
+	}{
+		"a host that knows nothing": {
+			do:   record,
+			want: []pinner.Copy{{Key: key, Origin: first, Left: window}},
+		},
+		"a sole origin": {do: func(w *watcher) { w.observe(settled+2*interval, first); record(w) }},
+		"a sole origin that other hosts may not know yet": {
+			do:   func(w *watcher) { w.observe(settled-2*interval, first); record(w) },
+			want: []pinner.Copy{{Key: key, Origin: first, Left: window}},
+		},
+		"a second origin appears after the record": {
+			do: func(w *watcher) {
+				w.observe(settled+2*interval, first)
+				record(w)
+				w.Unshared(w.now)
+				w.observe(0, first, second)
+			},
+			want: []pinner.Copy{{Key: key, Origin: first, Left: window}},
+		},
+		"the route leaves": {
+			do: func(w *watcher) {
+				w.observe(settled+2*interval, first)
+				record(w)
+				w.observeRoutes(0, window, true, nil)
+			},
+			want: []pinner.Copy{{Key: key, Origin: first, Left: window}},
+		},
+		"already shared": {do: func(w *watcher) { record(w); w.Unshared(w.now) }},
+		"expired":        {do: func(w *watcher) { record(w); w.now = w.now.Add(window) }},
+		"a copy":         {do: func(w *watcher) { w.Receive(key, first, w.now.Add(window), w.now) }},
+		"the stream goes on": {
+			do: func(w *watcher) {
+				record(w)
+				w.Unshared(w.now)
+				w.Record(key, route, first, w.now.Add(2*window), w.now)
+			},
+			want: []pinner.Copy{{Key: key, Origin: first, Left: 2 * window}},
+		},
+		"another stream has the ID": {
+			do: func(w *watcher) {
+				record(w)
+				w.Unshared(w.now)
+				w.Record(key, route, second, w.now.Add(window), w.now)
+			},
+			want: []pinner.Copy{{Key: key, Left: window}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &watcher{pinner.New(), start}
+			test.do(w)
+			if got := w.Unshared(w.now); !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestLeavingHostHandsOverOwnRecordsAndCopies includes records that are not shared.
+func TestLeavingHostHandsOverOwnRecordsAndCopies(t *testing.T) {
+	w := &watcher{pinner.New(), start}
+	w.observe(settled+2*interval, first)
+	w.Record(1, route, first, w.now.Add(window), w.now)
+	w.Receive(2, second, w.now.Add(window), w.now)
+	w.Receive(3, second, w.now, w.now)
+	if got := w.All(w.now); len(got) != 2 {
+		t.Errorf("got %v, want records 1 and 2", got)
+	}
+	w.Prune(w.now)
+	if got := w.Len(); got != 2 {
+		t.Errorf("%d records after pruning, want 2", got)
+	}
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	const limit = 1 << 16
+	p := pinner.New()
+	for k := range limit + 2 {
+		p.Receive(pinner.Key(k), first, start.Add(window), start)
+	}
+	p.Receive(0, first, start.Add(2*window), start)
+	if p.Len() != limit || p.Dropped() != 2 {
+		t.Errorf("%d records and %d dropped, want %d and 2", p.Len(), p.Dropped(), limit)
+	}
+	if got := p.Answer(0, route, start.Add(window)); got != recorded(first) {
+		t.Errorf("got %v for a record that was extended, want it", got)
+	}
+	p.Receive(limit, first, start.Add(2*window), start.Add(window))
+	if p.Len() != 2 || p.Dropped() != 2 {
+		t.Errorf("%d records and %d dropped when others have expired, want 2 and 2", p.Len(), p.Dropped())
+	}
+}
