pinner: an inquiry waits for records and for contradiction

Cause, from cases of TestInquiry that failed before: two equal sole origins ended an inquiry before the holders of the record had answered, so that hosts which had not seen a new version outvoted the one whose stream it was. A record or sole origin without a version was returned, and an empty version means any to an admission request. One peer was enough for a host that knew nothing itself. A short watch that showed another origin contradicted nobody.

Change: Done waits for a record or for all answers (the caller bounds the time). A sole origin needs two hosts, or the only other one, and none that has seen another.

Evidence: `cd scheduler && go test -run TestInquiry ./pinner`, 8 cases red before, none now.

--- a/scheduler/pinner/inquiry.go
+++ b/scheduler/pinner/inquiry.go
@@ -1,26 +1,28 @@
 package pinner
 
-// agreeingPeers is the number of other hosts with the same sole origin that are enough, if
-// this host has none of its own.
-const agreeingPeers = 2
+// confirmations is the number of hosts, this one included, that must find the same sole
+// origin.
+const confirmations = 2
 
 // Inquiry combines what several hosts know of the origin of one stream.
 type Inquiry struct {
-	own     Answer
-	pending int
-	alone   bool
+	asked, pending int
+	alone          bool
 	// recorded and sole are the origins of the answers; conflict reports whether two
-	// of them differ.
-	recorded, sole *Origin
-	// soles counts the other hosts whose answer is Sole.
-	soles           int
+	// records differ, and mixed whether several origins have been possible.
+	recorded, sole  *Origin
 	mixed, conflict bool
+	// soles counts the hosts whose answer is Sole, and peers those that are others.
+	soles, peers int
+	// seen are the origins of hosts that can't tell.
+	seen []Origin
 }
 
 // NewInquiry returns an inquiry with this host's own answer, for a number of other hosts
-// that are asked. alone reports whether the fleet has no other host.
+// that are asked. alone reports whether the fleet has no other host; hosts that don't
+// respond are others.
 func NewInquiry(own Answer, asked int, alone bool) *Inquiry {
-	q := &Inquiry{own: own, pending: asked, alone: alone}
+	q := &Inquiry{asked: asked, pending: asked, alone: alone}
 	q.merge(own)
 	return q
 }
@@ -29,7 +31,7 @@
 func (q *Inquiry) Add(a Answer) {
 	q.pending--
 	if a.Knowledge == Sole {
-		q.soles++
+		q.peers++
 	}
 	q.merge(a)
 }
@@ -38,36 +40,46 @@
 func (q *Inquiry) merge(a Answer) {
 	switch a.Knowledge {
 	case Recorded:
-		q.conflict = q.conflict || a.Origin == Origin{} || q.recorded != nil && *q.recorded != a.Origin
+		q.conflict = q.conflict || a.Origin.Version == "" || q.recorded != nil && *q.recorded != a.Origin
 		q.recorded = &a.Origin
 	case Sole:
-		q.mixed = q.mixed || q.sole != nil && *q.sole != a.Origin
+		q.mixed = q.mixed || a.Origin.Version == "" || q.sole != nil && *q.sole != a.Origin
 		q.sole = &a.Origin
+		q.soles++
 	case Mixed:
 		q.mixed = true
+	default:
+		if a.Origin != (Origin{}) {
+			q.seen = append(q.seen, a.Origin)
+		}
 	}
 }
 
-// Done reports whether further answers are not needed.
-func (q *Inquiry) Done() bool {
-	if q.recorded != nil || q.pending <= 0 {
-		return true
-	}
-	return !q.mixed && (q.own.Knowledge == Sole && q.soles > 0 || q.soles >= agreeingPeers)
-}
+// Done reports whether further answers are not needed. A sole origin is not enough, as
+// the record of a stream at a version that few hosts have seen may be still to come.
+func (q *Inquiry) Done() bool { return q.recorded != nil || q.pending <= 0 }
 
-// Origin returns the stream's origin if it is known by the answers so far. A sole origin
-// counts only if another host confirms it, as a host that is cut off may have missed one.
+// Origin returns the stream's origin if it is known by the answers so far, which it is by
+// any record. A sole origin counts only if another host confirms it and none contradicts.
 func (q *Inquiry) Origin() (o Origin, ok bool) {
 	switch {
 	case q.conflict:
 		return o, false
 	case q.recorded != nil:
 		return *q.recorded, true
-	case q.mixed || q.sole == nil:
+	case q.mixed || q.sole == nil || !q.confirmed():
 		return o, false
-	case q.soles > 0 || q.alone:
-		return *q.sole, true
 	}
-	return o, false
+	for _, seen := range q.seen {
+		if seen != *q.sole {
+			return o, false
+		}
+	}
+	return *q.sole, true
+}
+
+// confirmed reports whether enough hosts have found the sole origin. If there is only one
+// to ask, that one is enough.
+func (q *Inquiry) confirmed() bool {
+	return q.alone || q.peers > 0 && (q.soles >= confirmations || q.asked == 1)
 }
