pinner: ask every host that may hold a copy

Cause: in a fleet of one failure domain all three copies are in it, and the host whose record it is may be among the first three as well, so that one holder was not asked. TestSourcesIncludeHolders ("one domain") failed with "holds a copy and is not asked".

Change: four hosts are asked in each domain.

Evidence: `cd scheduler && go test -run 'Holders|Copies|Sources' ./pinner` passes.

--- a/scheduler/pinner/holders.go
+++ b/scheduler/pinner/holders.go
@@ -13,9 +13,9 @@
 	// record: those of the failure domain first, as callers come back to it, and at
 	// least one elsewhere.
 	holdersInDomain, holders = 2, 3
-	// sourcesPerDomain is the number of hosts in each failure domain that are asked. It
-	// exceeds the number of holders there, as hosts' views of the fleet differ.
-	sourcesPerDomain = 3
+	// sourcesPerDomain is the number of hosts in each failure domain that are asked. All
+	// holders may be in one domain, together with the host whose record it is.
+	sourcesPerDomain = holders + 1
 )
 
 // Host is a host that may hold copies of records.
