--- a/scheduler/pinner/fleet_test.go
+++ b/scheduler/pinner/fleet_test.go
@@ -350,8 +350,10 @@
 	if f.now-h.observedAt >= interval {
 		f.see(h)
 	}
-	if (f.now+time.Duration(i)*tick)%batchInterval == 0 {
+	if f.now%time.Second == 0 {
 		h.Prune(f.time())
+	}
+	if (f.now+time.Duration(i)*tick)%batchInterval == 0 {
 		f.share(i, h.Unshared(f.time()))
 	}
 }
--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -1,9 +1,6 @@
 package pinner
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // maxRecords bounds the records of a host. At 50 streams a second that last 15 s, with
 // three copies each, a host holds 3,000.
@@ -25,17 +22,17 @@
 	origin Origin
 	// until is when the stream can't be taken up any more.
 	until time.Time
-	// route is the stream's route if this host serves it, and unshared reports whether
-	// no other host has been sent the record.
-	route    string
-	unshared bool
+	// route is the stream's route if this host serves it.
+	route string
 }
 
 // Pinner is what a host knows of the origins of streams. It is not safe for concurrent
 // use.
 type Pinner struct {
 	records map[Key]record
-	watches map[string]*watch
+	// unshared are the records of this host's streams that no other host has been sent.
+	unshared map[Key]bool
+	watches  map[string]*watch
 	// observedAt is the time of the last observation, zero if the directory was not up
 	// to date then.
 	observedAt time.Time
@@ -48,7 +45,7 @@
 
 // New returns a pinner that knows nothing.
 func New() *Pinner {
-	return &Pinner{records: make(map[Key]record), watches: make(map[string]*watch)}
+	return &Pinner{records: make(map[Key]record), unshared: make(map[Key]bool), watches: make(map[string]*watch)}
 }
 
 // Record keeps the origin of a stream that this host serves on a route. It is an event of
@@ -59,7 +56,9 @@
 		// The caller has used the ID of a request again.
 		o = Origin{}
 	}
-	p.put(k, record{origin: o, until: later(old.until, until), route: route, unshared: true}, now)
+	if p.put(k, record{origin: o, until: later(old.until, until), route: route}, now) {
+		p.unshared[k] = true
+	}
 }
 
 // Receive keeps the copy of a record that another host has sent.
@@ -85,21 +84,28 @@
 	return r, true
 }
 
-// put adds or replaces a record. If there is no room for another one it is dropped.
-func (p *Pinner) put(k Key, r record, now time.Time) {
+// put adds or replaces a record. If there is no room for another one it drops the record
+// and returns false.
+func (p *Pinner) put(k Key, r record, now time.Time) bool {
 	if _, known := p.records[k]; !known && len(p.records) >= maxRecords {
 		p.Prune(now)
 		if len(p.records) >= maxRecords {
 			p.dropped++
-			return
+			return false
 		}
 	}
 	p.records[k] = r
+	return true
 }
 
 // Prune removes the records of streams that can't be taken up any more.
 func (p *Pinner) Prune(now time.Time) {
-	maps.DeleteFunc(p.records, func(_ Key, r record) bool { return !now.Before(r.until) })
+	for k, r := range p.records {
+		if !now.Before(r.until) {
+			delete(p.records, k)
+			delete(p.unshared, k)
+		}
+	}
 }
 
 // Len returns the number of records, and Dropped that of records for which there was no
@@ -156,8 +162,10 @@
 // hosts have had the time to find the same, records of its streams are not needed.
 func (p *Pinner) Unshared(now time.Time) (copies []Copy) {
 	settled := make(map[string]bool)
-	for k, r := range p.records {
-		if !r.unshared || !now.Before(r.until) {
+	for k := range p.unshared {
+		r, ok := p.live(k, now)
+		if !ok {
+			delete(p.unshared, k)
 			continue
 		}
 		if _, checked := settled[r.route]; !checked {
@@ -166,8 +174,7 @@
 		if settled[r.route] {
 			continue
 		}
-		r.unshared = false
-		p.records[k] = r
+		delete(p.unshared, k)
 		copies = append(copies, Copy{k, r.origin, r.until.Sub(now)})
 	}
 	return copies
--- a/scheduler/pinner/watch.go
+++ b/scheduler/pinner/watch.go
@@ -45,7 +45,7 @@
 // from the dispatch of a stream to the last moment at which it may be taken up again. A
 // route that is missing is watched anew when it comes back.
 func (p *Pinner) Observe(possible map[string][]Origin, upToDate bool, window time.Duration, now time.Time) {
-	continuous := upToDate && !p.observedAt.IsZero() && now.Sub(p.observedAt) <= maxObservationGap
+	continuous := !p.observedAt.IsZero() && now.Sub(p.observedAt) <= maxObservationGap
 	p.setWindow(window, now)
 	for route := range possible {
 		if p.watches[route] == nil {
