coordinator: grant bound requests only upstreams of their version

Cause: nothing read Request.Version. A request to go on with a stream got the upstream that was expected to be fastest, of whatever version, and was redirected by the free slots of the whole pool.

Change: allowed compares the version as a whole; the queue, the forecast and redirects follow from it. - A bound request goes before the others of its tier and priority, and takes only slots of its version; a version that is full is tried once a round, not once a request. - Early rejection counts the slots of the upstreams that the request may use, the queue of its version and what is not bound at higher ranks. The forecast of the others counts bound ones as far as they take slots until then. - Summaries have the free slots of each version (a new field; without it, as from an older build, the directory decides). A bound request is redirected to where its version has room, or may be: a domain without a coordinator may be covered by any other one. - Refused at once, with the Retry-After that fits: no upstream of the version in the directory, only excluded or disallowed ones, ejected or cold for longer than the request may wait, a redirected request that finds none.

TestBoundRequestsDoNot- HoldUpOthers passes before and after: it guards against a change that holds others up. Ruled out: only comparing the version.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -112,15 +112,6 @@
 	lastExpiry time.Time
 }
 
-// peer is the last summary of another coordinator.
-type peer struct {
-	summary Summary
-	at      time.Time
-	// redirected counts the requests of each pool redirected to the peer since
-	// its summary arrived.
-	redirected map[string]int
-}
-
 // New returns a coordinator without upstreams. The process name identifies it
 // in summaries.
 func New(process string, b Bounds) *Coordinator {
@@ -223,15 +214,19 @@
 }
 
 // assignUpstreams lists for each pool the upstreams that this coordinator may
-// grant.
+// grant and those that others grant.
 func (c *Coordinator) assignUpstreams(now time.Time) {
 	for _, p := range c.pools {
 		p.members = p.members[:0]
+		clear(p.elsewhere)
 	}
 	for _, u := range c.upstreams {
-		if slices.Contains(c.fleet.Scope, u.Domain) {
-			p := c.pool(u.Pool, now)
+		p := c.pool(u.Pool, now)
+		switch {
+		case slices.Contains(c.fleet.Scope, u.Domain):
 			p.members = append(p.members, u)
+		case !u.unavailable:
+			p.addElsewhere(u)
 		}
 	}
 	for _, p := range c.pools {
@@ -264,37 +259,6 @@
 	}
 }
 
-// RecordSummary processes the summary of another coordinator.
-func (c *Coordinator) RecordSummary(s Summary, now time.Time) {
-	c.peers[s.Domain] = peer{summary: s, at: now, redirected: make(map[string]int)}
-	for name, used := range s.Used {
-		if q := c.quotas[name]; q != nil {
-			q.RecordUsage(s.Domain, s.Process, used, now)
-		}
-	}
-}
-
-// Summary returns the summary to be sent to other coordinators.
-func (c *Coordinator) Summary(now time.Time) Summary {
-	s := Summary{Process: c.process, Domain: c.fleet.Domain, Free: make(map[string]int), Used: make(map[string]float64)}
-	for name, p := range c.pools {
-		for _, u := range p.members {
-			if u.eligible(now) {
-				s.Free[name] += max(0, u.slots()-len(u.running))
-			}
-		}
-		if _, serves := s.Free[name]; serves {
-			s.Free[name] -= len(p.waiting)
-		}
-	}
-	for name, q := range c.quotas {
-		if used := q.Used(); used > 0 {
-			s.Used[name] = used
-		}
-	}
-	return s
-}
-
 // Loads returns the load of each pool, sorted by name.
 func (c *Coordinator) Loads(now time.Time) []Load {
 	loads := make([]Load, 0, len(c.pools))
--- a/scheduler/coordinator/doc.go
+++ b/scheduler/coordinator/doc.go
@@ -24,4 +24,9 @@
 //     would have got one.
 //   - placement (place.go): upstreams that differ in speed, are cold, or fail
 //     some of their requests.
+//   - bound requests (version.go): streams that go on only at the software version
+//     that began them, as during a rolling release of the upstreams. Such a request
+//     waits for the slots of its version alone, before others of its rank, and holds up
+//     none that can use other slots. If no upstream of its version can take it in
+//     time, here or in another failure domain, it is refused at once.
 package coordinator
--- a/scheduler/coordinator/forecast.go
+++ b/scheduler/coordinator/forecast.go
@@ -91,12 +91,17 @@
 // slots per second available to it and the number of requests ahead of it.
 type forecast struct {
 	valid bool
+	// slots is the number of slots of the pool.
+	slots int
 	// inTimeRate and lateRate are the slots per second that the requests ahead
 	// leave to those of a rank.
 	inTimeRate, lateRate [maxRank + 1]float64
 	// inTimeAhead and lateAhead count the requests ahead of the first of a
 	// rank.
 	inTimeAhead, lateAhead [maxRank + 1]int
+	// versions are the requests that are bound to a version. The numbers ahead do not
+	// contain them.
+	versions []*versionQueue
 }
 
 // forecast returns the forecast for a queue that is served by a number of
@@ -105,7 +110,7 @@
 	if f.samples < minSamples || f.meanHold <= 0 || slots == 0 {
 		return fc
 	}
-	fc.valid = true
+	fc.valid, fc.slots = true, slots
 	left, ahead := float64(slots)/f.meanHold, 0
 	least := minRateShare * left
 	for r := range b.inTime {
@@ -119,7 +124,8 @@
 }
 
 // wait returns how long the request at a position among those of its rank, in
-// time or late, waits for a slot; 0 if there is no valid forecast.
+// time or late, waits for a slot if it is not bound to a version; 0 if there is no
+// valid forecast.
 func (fc *forecast) wait(r rank, late bool, position int) time.Duration {
 	if !fc.valid {
 		return 0
@@ -128,9 +134,12 @@
 	if late {
 		rate, ahead = fc.lateRate[r], fc.lateAhead[r]
 	}
-	return time.Duration(float64(ahead+position+1) / rate * float64(time.Second))
+	return seconds(fc.timeUntil(float64(ahead+position+1), r, rate))
 }
 
+// seconds returns the duration of a number of seconds.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // position returns how many requests of the same rank, and in time or late like
 // w, are ahead of w.
 func (b *backlog) position(w *waiter) int {
@@ -149,17 +158,21 @@
 	b.inTime[rankOf(w.Request)]++
 }
 
-// rejectEarly reports whether a request is expected not to get a slot within its
-// remaining wait, and its Retry-After: the time at which it would have got one,
-// bounded by the caller's deadline and with jitter so that callers do not all
-// retry at the same time.
-func (fc *forecast) rejectEarly(w *waiter, position int, now time.Time) (reject bool, after time.Duration) {
-	d := fc.wait(rankOf(w.Request), w.late, position)
+// rejectEarly reports whether a request that waits for a slot for d is not expected
+// to get one within its remaining wait, and its Retry-After.
+func (w *waiter) rejectEarly(d time.Duration, now time.Time) (reject bool, after time.Duration) {
 	if float64(d) <= rejectFactor*float64(w.remainingWait(now)) {
 		return false, 0
 	}
-	after = time.Duration(float64(min(d, maxRetryAfter)) * (1 - retryJitter*jitter(w.ID)))
-	return true, max(minRetryAfter, min(after, w.remaining(now)/retryDivisor))
+	return true, w.retryAfter(d, now)
+}
+
+// retryAfter returns the Retry-After of a request that would get a slot after d: that
+// time, bounded by the caller's deadline and with jitter so that callers do not all
+// retry at the same time.
+func (w *waiter) retryAfter(d time.Duration, now time.Time) time.Duration {
+	after := time.Duration(float64(min(d, maxRetryAfter)) * (1 - retryJitter*jitter(w.ID)))
+	return max(minRetryAfter, min(after, w.remaining(now)/retryDivisor))
 }
 
 // jitter maps a request number to a pseudo-random number from 0 to 1.
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -130,10 +130,10 @@
 	return false
 }
 
-// allowed reports whether a request may run in the upstream's region and has
-// not been tried on the upstream before.
+// allowed reports whether a request may run in the upstream's region and at its
+// version, and has not been tried on the upstream before.
 func (c *Coordinator) allowed(u *upstream, r Request) bool {
-	if slices.Contains(r.Exclude, u.ID) {
+	if r.Version != "" && r.Version != u.Version || slices.Contains(r.Exclude, u.ID) {
 		return false
 	}
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, c.fleet.Regions[u.Domain])
@@ -158,10 +158,11 @@
 }
 
 // minFirstTokenTime returns the shortest estimated time to the first event among
-// the eligible upstreams of a pool.
+// the eligible upstreams of a pool, for a request that is bound to a version among
+// those that it may use.
 func (c *Coordinator) minFirstTokenTime(p *pool, r Request, now time.Time) (best time.Duration) {
 	for _, u := range p.members {
-		if !u.eligible(now) {
+		if !u.eligible(now) || r.Version != "" && !c.allowed(u, r) {
 			continue
 		}
 		if d := u.firstTokenTime(r); best == 0 || d < best {
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -61,7 +61,13 @@
 	router.Pool
 	// members are the upstreams that this coordinator may grant.
 	members []*upstream
-	waiting []*waiter
+	// elsewhere lists the IDs of the upstreams that other coordinators grant, by
+	// version and failure domain.
+	elsewhere map[string]map[string][]string
+	waiting   []*waiter
+	// full lists the versions without an upstream that can accept a request, as
+	// found in the current round of serve.
+	full    []string
 	retries *limiter.Bucket
 	// forecaster predicts how long queued requests will wait.
 	forecaster forecaster
@@ -142,6 +148,7 @@
 // does not grow with the queue while no slot is free.
 func (c *Coordinator) serve(p *pool, now time.Time) {
 	p.round++
+	p.full = p.full[:0]
 	for len(p.waiting) > 0 && c.anyCanAccept(p, now) {
 		i := c.next(p, now)
 		if i < 0 {
@@ -153,6 +160,7 @@
 		u := c.place(p, r, now)
 		if u == nil {
 			w.triedRound = p.round
+			c.noteFull(p, w.Version, now)
 			continue
 		}
 		c.grant(w, u, now)
@@ -173,7 +181,7 @@
 func (c *Coordinator) next(p *pool, now time.Time) (first int) {
 	first = -1
 	for i, w := range p.waiting {
-		if w.triedRound == p.round {
+		if w.triedRound == p.round || w.Version != "" && slices.Contains(p.full, w.Version) {
 			continue
 		}
 		w.late = now.After(w.sendBy)
@@ -184,6 +192,15 @@
 	return first
 }
 
+// noteFull records a version for the current round if no upstream of it can accept a
+// request. Requests that are bound to it are then not tried one by one.
+func (c *Coordinator) noteFull(p *pool, version string, now time.Time) {
+	if version == "" || slices.ContainsFunc(p.members, func(u *upstream) bool { return u.Version == version && u.canAccept(now) }) {
+		return
+	}
+	p.full = append(p.full, version)
+}
+
 // grant assigns an upstream to a queued request.
 func (c *Coordinator) grant(w *waiter, u *upstream, now time.Time) {
 	c.addGrant(key{w.entry, w.ID}, w.Request, u, now)
@@ -201,8 +218,14 @@
 	kept := p.waiting[:from]
 	for _, w := range p.waiting[from:] {
 		w.lastSweep = now
-		if !c.resolve(p, w, &fc, before.position(w), now) {
-			before.add(w)
+		ahead := &before
+		if w.Version != "" {
+			if q := fc.queue(w.Version); q != nil {
+				ahead = &q.ahead
+			}
+		}
+		if !c.resolve(p, w, &fc, ahead.position(w), now) {
+			ahead.add(w)
 			kept = append(kept, w)
 		}
 	}
@@ -220,26 +243,44 @@
 	var b backlog
 	for _, w := range p.waiting {
 		w.late = now.After(w.sendBy)
+		if w.Version != "" {
+			fc.addBound(w)
+			continue
+		}
 		b.add(w)
 	}
-	slots := 0
-	for _, u := range p.members {
-		if u.eligible(now) {
-			slots += u.slots()
-		}
+	slots := c.slotsFor(p, func(*upstream) bool { return true }, now)
+	versions := fc.versions
+	fc = p.forecaster.forecast(b, slots, now)
+	fc.versions = versions
+	for _, q := range versions {
+		n := c.slotsFor(p, func(u *upstream) bool { return u.Version == q.version }, now)
+		q.share = float64(n) / float64(max(slots, 1))
 	}
-	return p.forecaster.forecast(b, slots, now)
+	return fc
 }
 
-// bySlack orders queued requests by tier and priority, then puts those that can
-// still meet their objective first, then orders by the time left to meet it.
-// Without the second step a burst would make every request late: those that
-// waited longest would go first, and each would be served just after its
+// bySlack orders queued requests by tier and priority, then puts those that are bound
+// to a version first, then those that can still meet their objective, then orders by
+// the time left to meet it.
+//
+// A bound request can use only a fraction of the slots, and its caller has part of the
+// response already. Ordered like the others, which can use any slot, it would seldom be
+// the first when a slot of its version becomes free.
+//
+// If those that are late did not go last, a burst would make every request late: those
+// that waited longest would go first, and each would be served just after its
 // objective.
 func bySlack(a, b *waiter) int {
 	if a.Tier != b.Tier || a.Priority != b.Priority {
 		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Priority, b.Priority))
 	}
+	if aBound, bBound := a.Version != "", b.Version != ""; aBound != bBound {
+		if aBound {
+			return -1
+		}
+		return 1
+	}
 	if a.late != b.late {
 		if b.late {
 			return -1
@@ -259,7 +300,12 @@
 	after := minRetryAfter
 	if !c.tooLate(w, now) {
 		reject := false
-		if reject, after = fc.rejectEarly(w, position, now); !reject {
+		if w.Version != "" {
+			reject, after = c.rejectBound(p, w, fc, position, now)
+		} else {
+			reject, after = w.rejectEarly(fc.wait(rankOf(w.Request), w.late, position), now)
+		}
+		if !reject {
 			return false
 		}
 	}
@@ -288,7 +334,7 @@
 // this region, or else in another region. Where this domain has no upstream for
 // the request, as during an evacuation, and no other domain has a free slot, it
 // is the one with the shortest queue. It is empty if the request should wait
-// here.
+// here. For a request that is bound to a version only slots of that version count.
 func (c *Coordinator) redirectTarget(p *pool, r Request, now time.Time) (domain string) {
 	if r.Redirected || c.fleet.Standalone {
 		return ""
@@ -299,16 +345,13 @@
 	}
 	here := c.fleet.Regions[c.fleet.Domain]
 	bestRoom, bestNear := 0, false
+	t := target{p.Name, r.Version}
 	for d, other := range c.peers {
 		if now.Sub(other.at) > summaryTTL || d == c.fleet.Domain {
 			continue
 		}
-		if len(r.Regions) > 0 && !slices.Contains(r.Regions, c.fleet.Regions[d]) {
-			continue
-		}
-		free, serves := other.summary.Free[p.Name]
-		room := free - other.redirected[p.Name]
-		if !serves || room < least {
+		room, serves := other.room(t)
+		if !serves || room < least || !c.mayGrant(p, d, r, now) {
 			continue
 		}
 		near := c.fleet.Regions[d] == here && room > 0
@@ -318,7 +361,8 @@
 		domain, bestRoom, bestNear = d, room, near
 	}
 	if domain != "" {
-		c.peers[domain].redirected[p.Name]++
+		best := c.peers[domain]
+		best.countRedirect(t)
 	}
 	return domain
 }
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -32,7 +32,8 @@
 	// Exclude lists upstreams that must not be tried again.
 	Exclude []string
 	// Version is the software version that the upstream must have, as a stream goes on
-	// only at the version that began it; empty means any.
+	// only at the version that began it; empty means any. Versions have no order. A
+	// request with a version is called bound to it.
 	Version string
 	// Regions lists the regions that may serve the request; empty means any.
 	Regions []string
@@ -54,7 +55,7 @@
 	// NoCapacity means that no slot becomes free in time.
 	NoCapacity
 	// NoUpstream means that the pool has no upstream that may receive new
-	// requests.
+	// requests, or none of the version that the request is bound to.
 	NoUpstream
 	// OverQuota means that the workspace has used up its quota.
 	OverQuota
@@ -161,6 +162,9 @@
 	// Free is the number of free slots of each pool, less the queued requests.
 	// Pools without an upstream that may receive new requests are left out.
 	Free map[string]int
+	// FreeByVersion is Free for the requests that are bound to a version, by pool and
+	// version. Upstreams that do not say their version are left out.
+	FreeByVersion map[string]map[string]int
 	// Used is the usage admitted for each workspace since the process started,
 	// in tokens.
 	Used map[string]float64
