forwarder: a stream goes on only in the pool and at the version that began it

Cause: neither a retry within a response, nor a takeover, nor a caller's resumption knew which version had sent the events that the caller already has.

Change: the origin of a stream is the pool and the version of the upstream whose first event is relayed, fixed and recorded (Origins.Record) before the head is sent. An entry of another version or pool, or without one, is not sent the request, neither at the grant nor right before the first byte: the grant is returned unused and the upstream excluded. Such grants count towards maxGrants, so a response ends after five grants at most. An unknown version continues nothing: no further attempt, no search for a takeover. A resumption is looked up (Origins.Find) before its first admission and refused with unknownStream if its origin is not known, its pool left the route or the route is not resumable.

Two more ways that join versions: an event held in a chunk whose rest had not arrived was relayed after another upstream had taken the request over; and an upstream may have started again under its ID when the entry is stale. The entry is now compared again at the first event of each attempt: a new stream then has no known version, one that goes on is not relayed, and this is no loss for the quarantine.

'request' logs streamVersions, 'stream not continued' and 'upstream of another version' are new. An outdated entry with the silent upstream's address is excluded as before, but no longer listed under 'upstreams', as nothing was sent there.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -61,8 +61,10 @@
 	*handler
 	grant Grant
 	span  trace.Span
-	// upstream is the entry of the upstream that the request was sent to.
+	// upstream is the entry of the upstream that the request was sent to. version is that
+	// of its software, empty if it is not known.
 	upstream registrar.Entry
+	version  string
 	conn     *connector.Conn
 	// release keeps the end of the request's context from closing the connection. It
 	// returns false if that has happened.
@@ -79,6 +81,8 @@
 	phase phase
 	// successor is the attempt that has taken the request over, if any.
 	successor *attempt
+	// relayed reports whether an event of this attempt was relayed.
+	relayed bool
 }
 
 // newAttempt returns an attempt at the upstream of a grant, and its context. The
@@ -148,6 +152,9 @@
 	if !ok {
 		return a.endUnused("upstreamLeft"), false
 	}
+	if !a.mayGoOnAt(entry) {
+		return a.endOtherVersion(entry), false
+	}
 	conn, err := a.connector.Get(ctx, a.grant.Upstream, entry.Address)
 	if err != nil {
 		return a.endUnreached(ctx, entry.Version, err), false
@@ -167,6 +174,9 @@
 	if !ok || ctx.Err() != nil {
 		return a.endUnused("upstreamLeft"), false
 	}
+	if !a.mayGoOnAt(entry) {
+		return a.endOtherVersion(entry), false
+	}
 	if a.quarantine.Refuses(a.r.Digest, a.r.Parts) {
 		a.refuseQuarantined()
 		return attemptResult{ending: coordinator.Unused, final: true}, false
@@ -176,7 +186,7 @@
 	a.markTried(a.grant.Upstream, entry.Version)
 	a.dispatched++
 	a.possibleRuns++
-	a.start, a.upstream = now, entry
+	a.start, a.upstream, a.version = now, entry, entry.Version
 	if err := a.writeRequest(head); err != nil {
 		return a.endLost(ctx, err), false
 	}
--- a/foxtaild/forwarder/ending.go
+++ b/foxtaild/forwarder/ending.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/registrar"
 )
 
 // endUnused ends an attempt in which no byte was sent.
@@ -15,6 +16,22 @@
 	return attemptResult{ending: coordinator.Unused}
 }
 
+// endOtherVersion ends an attempt in which no byte was sent, as the stream can't go on at
+// the upstream.
+func (a *attempt) endOtherVersion(e registrar.Entry) attemptResult {
+	a.exclude(a.grant.Upstream)
+	a.log.Info("upstream of another version", "id", a.r.ID, "upstream", e.ID, "upstreamVersion", e.Version, "upstreamPool", e.Pool, "streamVersion", a.origin.Version, "pool", a.origin.Pool)
+	return a.endUnused("otherVersion")
+}
+
+// endRestarted ends an attempt whose upstream may have another version than the stream.
+// Its connection was not lost, so the request is no suspect.
+func (a *attempt) endRestarted() attemptResult {
+	a.refusal = Refusal{Outcome: Unknown, Reason: "otherVersion", RetryAfter: defaultRetryAfter}
+	a.log.Info("upstream of another version", "id", a.r.ID, "upstream", a.upstream.ID, "upstreamVersion", "", "upstreamPool", a.upstream.Pool, "streamVersion", a.origin.Version, "pool", a.origin.Pool)
+	return attemptResult{ending: coordinator.Cancelled}
+}
+
 // endUnreached ends an attempt whose upstream could not be connected to.
 func (a *attempt) endUnreached(ctx context.Context, version string, err error) attemptResult {
 	a.refuse(Refusal{Outcome: NotRun, Reason: "unreached", RetryAfter: defaultRetryAfter})
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -9,7 +9,9 @@
 //   - if it may have run the request, another one is tried only where the
 //     route allows a request to run twice;
 //   - a broken stream resumes at another upstream, after the last event that
-//     was relayed whole, where the route marks its streams as resumable;
+//     was relayed whole, where the route marks its streams as resumable, but only in
+//     the pool and at the software version that began it. The same holds for a caller
+//     that takes a stream up again, maybe at another host: its origin is looked up;
 //   - if an upstream falls silent, another one takes the request over where it may be
 //     tried again, but only once that one has accepted it: until then the first
 //     may still go on;
@@ -22,7 +24,6 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,7 @@
 	"foxtaillug.org/contract"
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/scheduler/coordinator"
+	"foxtaillug.org/scheduler/pinner"
 )
 
 const (
@@ -162,6 +164,14 @@
 	dispatched int
 	tried      []string
 	versions   []string
+	// excluded lists further upstreams that must not be tried.
+	excluded []string
+	// pool is the pool whose upstreams are tried. origin is where the stream began, nil
+	// until an event is relayed or if the caller does not take a stream up.
+	pool   string
+	origin *pinner.Origin
+	// relayedVersions lists the versions of the upstreams whose events were relayed.
+	relayedVersions []string
 	// possibleRuns is the number of upstreams that may have run the request.
 	possibleRuns int
 	// responseStarted reports whether an upstream has begun to respond.
@@ -203,7 +213,7 @@
 	defer cancel()
 	ctx, span := f.tracer.Start(ctx, "entry")
 	defer span.End()
-	h := &handler{Forwarder: f, r: r, responder: responder, lastEventID: r.LastEventID}
+	h := &handler{Forwarder: f, r: r, responder: responder, lastEventID: r.LastEventID, pool: r.Pool}
 	defer func() { f.buffered.Add(-h.buffered) }()
 	res := h.serve(ctx)
 	h.report(ctx, res)
@@ -239,18 +249,18 @@
 	}
 	took := time.Since(r.Arrived)
 	h.log.Log(context.Background(), level, "request",
-		"id", r.ID, "route", r.Route.Name, "kind", r.Route.Kind.String(), "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", r.Pool,
+		"id", r.ID, "route", r.Route.Name, "kind", r.Route.Kind.String(), "workspace", r.Workspace, "tier", r.Tier, "priority", r.Route.Priority, "pool", h.pool,
 		"outcome", outcome, "status", res.Status, "reason", h.refusal.Reason,
 		"retryAfterMs", h.refusal.RetryAfter.Milliseconds(),
 		"resumes", r.Resumes, "after", r.LastEventID, "prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
 		"waitedMs", h.waited.Milliseconds(), "firstMs", h.firstEvent.Milliseconds(), "pauseMs", h.longestPause.Milliseconds(), "tookMs", took.Milliseconds(),
-		"owner", h.owner, "upstreams", h.tried, "upstreamVersions", h.versions, "endings", h.endings, "digest", r.logDigest(), "parts", r.logParts())
+		"owner", h.owner, "upstreams", h.tried, "upstreamVersions", h.versions, "streamVersions", h.relayedVersions, "endings", h.endings, "digest", r.logDigest(), "parts", r.logParts())
 	upstream := ""
 	if len(h.tried) > 0 {
 		upstream = h.tried[len(h.tried)-1]
 	}
 	h.observe(contract.Explanation{
-		RequestID: r.ID, At: r.Arrived, Workspace: r.Workspace, Tier: r.TierName, Pool: r.Pool, Owner: h.owner, Upstream: upstream,
+		RequestID: r.ID, At: r.Arrived, Workspace: r.Workspace, Tier: r.TierName, Pool: h.pool, Owner: h.owner, Upstream: upstream,
 		Outcome: outcome, Reason: h.refusal.Reason, WaitedMs: h.waited.Milliseconds(), TotalMs: took.Milliseconds(), Dispatches: h.dispatched,
 	}, h.firstEvent)
 }
@@ -258,6 +268,9 @@
 // serve tries upstreams until one response is relayed or the request is
 // refused.
 func (h *handler) serve(ctx context.Context) Result {
+	if h.r.resumesStream() && !h.findOrigin(ctx) {
+		return h.giveUp()
+	}
 	for range maxGrants {
 		g, ok := h.requestGrant(ctx)
 		if !ok {
@@ -284,54 +297,12 @@
 
 // mayRetry reports whether the route allows an attempt at another upstream.
 func (h *handler) mayRetry() bool {
-	if h.dispatched >= max(h.r.Route.Attempts, 1) {
+	if h.dispatched >= max(h.r.Route.Attempts, 1) || !h.mayGoOn() {
 		return false
 	}
 	return h.possibleRuns == 0 || h.r.Route.Retryable()
 }
 
-// requestGrant requests a grant and returns whether there is one. A refusal is
-// kept unless the request may already have run.
-func (h *handler) requestGrant(ctx context.Context) (Grant, bool) {
-	r := h.r
-	if h.quarantine.Refuses(r.Digest, r.Parts) {
-		h.refuseQuarantined()
-		return Grant{}, false
-	}
-	ctx, span := h.tracer.Start(ctx, "grantWait")
-	defer span.End()
-	start := time.Now()
-	g, err := h.admitter.Admit(ctx, h.admission(start))
-	h.waited += time.Since(start)
-	if err != nil {
-		h.setContextRefusal(ctx)
-		return g, false
-	}
-	h.owner = g.Owner
-	if g.Refusal == nil {
-		return g, true
-	}
-	h.refuse(*g.Refusal)
-	return g, false
-}
-
-// markTried excludes an upstream from further attempts.
-func (h *handler) markTried(id, version string) {
-	h.tried = append(h.tried, id)
-	h.versions = append(h.versions, version)
-}
-
-// admission returns the admission request for another upstream than those tried.
-func (h *handler) admission(now time.Time) coordinator.Request {
-	r := h.r
-	return coordinator.Request{
-		Pool: r.Pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
-		Age: r.Age + now.Sub(r.Arrived), Objective: r.Route.Objective, Left: r.Deadline.Sub(now), Waited: h.waited,
-		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output,
-		Repeat: h.dispatched > 0, Exclude: slices.Clone(h.tried), Regions: r.Regions, Digest: r.Digest, Prefix: r.Prefix,
-	}
-}
-
 // refuse sets the refusal of a request that is not run now, unless an earlier
 // attempt may have run it.
 func (h *handler) refuse(r Refusal) {
--- a/foxtaild/forwarder/forwarder_test.go
+++ b/foxtaild/forwarder/forwarder_test.go
@@ -293,7 +293,7 @@
 	for i, s := range servers {
 		id := fmt.Sprint("upstream-", i)
 		dir.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) {
-			r.Put(registrar.Entry{ID: id, Address: s.l.Addr().String(), Slots: 1})
+			r.Put(registrar.Entry{ID: id, Pool: "p", Address: s.l.Addr().String(), Version: "v1", Slots: 1})
 		})
 		admitter.grants = append(admitter.grants, id)
 	}
--- /dev/null
+++ b/foxtaild/forwarder/origin.go
@@ -0,0 +1,120 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"foxtaillug.org/scheduler/pinner"
+	"foxtaillug.org/scheduler/registrar"
+	"foxtaillug.org/scheduler/router"
+)
+
+const (
+	// ResumptionDelay is how long after the deadline of a request its caller may still
+	// take the stream up: the longest Retry-After, 2 s, and 1 s for a connection.
+	ResumptionDelay = 3 * time.Second
+	// unknownStreamRetryAfter is the retry delay sent to callers whose stream can't go on
+	// here. Copies of its record may still arrive; callers that wait longer learn later
+	// that they have to begin anew.
+	unknownStreamRetryAfter = 150 * time.Millisecond
+)
+
+// errOtherVersion is the error of a stream from an upstream that has started again since
+// the request was sent, so that the version which answers is not known.
+var errOtherVersion = eris.New("upstream started again since the request was sent")
+
+// resumesStream reports whether the caller takes up a stream that an earlier request
+// began. The responses of other kinds of routes are whole.
+func (r *Request) resumesStream() bool {
+	return r.Route.Kind == router.Streaming && r.LastEventID != NoEvent
+}
+
+// resumable reports whether callers may take up the streams of the request's route.
+func (r *Request) resumable() bool { return r.Route.Kind == router.Streaming && r.Route.Resumable }
+
+// stream returns the key of the stream that the request begins or takes up, 0 if there
+// is none.
+func (r *Request) stream() pinner.Key {
+	if r.resumesStream() {
+		return r.ResumedStream
+	}
+	return r.Stream
+}
+
+// mayUse reports whether the route in force sends requests to a pool.
+func (r *Request) mayUse(pool string) bool {
+	return pool == r.Pool || slices.ContainsFunc(r.Route.Targets, func(t router.Target) bool { return t.Pool == pool })
+}
+
+// findOrigin sets the origin of the stream that the caller takes up. It returns false if
+// the stream can't go on.
+func (h *handler) findOrigin(ctx context.Context) bool {
+	r := h.r
+	var o pinner.Origin
+	var cause string
+	known := false
+	switch {
+	case !r.resumable():
+		cause = "notResumable"
+	case r.stream() == 0:
+		cause = "unnamed"
+	default:
+		cause = "unknown"
+		start := time.Now()
+		o, known = h.origins.Find(ctx, StreamID{r.stream(), r.Route.Name})
+		h.waited += time.Since(start)
+	}
+	switch {
+	case known && o.Version != "" && r.mayUse(o.Pool):
+		h.pool, h.origin = o.Pool, &o
+		return true
+	case ctx.Err() != nil:
+		h.setContextRefusal(ctx)
+		return false
+	case known && o.Version != "":
+		cause = "poolLeft"
+	}
+	h.refuse(Refusal{Outcome: NotRun, Reason: "unknownStream", RetryAfter: unknownStreamRetryAfter})
+	h.log.Info("stream not continued", "id", r.ID, "resumes", r.Resumes, "after", r.LastEventID, "cause", cause, "pool", o.Pool, "streamVersion", o.Version)
+	return false
+}
+
+// mayGoOn reports whether any upstream may send further events: the stream has not begun,
+// or it did at a known version.
+func (h *handler) mayGoOn() bool { return h.origin == nil || h.origin.Version != "" }
+
+// mayGoOnAt reports whether an upstream may send further events.
+func (h *handler) mayGoOnAt(e registrar.Entry) bool {
+	return h.origin == nil || h.mayGoOn() && h.origin.Version == e.Version && h.origin.Pool == e.Pool
+}
+
+// exclude excludes an upstream that the request was not sent to from further attempts.
+func (h *handler) exclude(id string) { h.excluded = append(h.excluded, id) }
+
+// checkRestart returns an error if the upstream has started again since the request was
+// sent, unless the stream may begin there: then its version is unknown.
+func (a *attempt) checkRestart() error {
+	e, ok := a.directory.Usable(a.upstream.ID, time.Now())
+	if !ok || e.Born == a.upstream.Born && e.Version == a.upstream.Version {
+		return nil
+	}
+	if a.origin != nil {
+		return errOtherVersion
+	}
+	a.version = ""
+	return nil
+}
+
+// recordOrigin fixes the origin of a stream whose first event is about to be relayed, and
+// records it for hosts that are asked to take the stream up.
+func (a *attempt) recordOrigin() {
+	if a.origin == nil {
+		a.origin = &pinner.Origin{Pool: a.pool, Version: a.version}
+	}
+	if a.mayGoOn() && a.r.resumable() && a.r.stream() != 0 {
+		a.origins.Record(StreamID{a.r.stream(), a.r.Route.Name}, *a.origin, a.r.Deadline.Add(ResumptionDelay))
+	}
+}
--- a/foxtaild/forwarder/quarantine_test.go
+++ b/foxtaild/forwarder/quarantine_test.go
@@ -66,7 +66,9 @@
 	admitter := &fixedAdmitter{}
 	for i, s := range servers {
 		id := string(rune('a' + i))
-		dir.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) { r.Put(registrar.Entry{ID: id, Address: s.l.Addr().String(), Slots: 1}) })
+		dir.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) {
+			r.Put(registrar.Entry{ID: id, Pool: "p", Address: s.l.Addr().String(), Version: "v1", Slots: 1})
+		})
 		admitter.grants = append(admitter.grants, id)
 	}
 	f := forwarder.New(admitter, testCodec{}, connector.New(), dir, slog.New(slog.DiscardHandler), forwarder.WithQuarantine(q))
--- a/foxtaild/forwarder/stall_test.go
+++ b/foxtaild/forwarder/stall_test.go
@@ -281,7 +281,7 @@
 // put adds an upstream to the directory.
 func (s *takeoverFixture) put(id, address string) {
 	s.directory.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) {
-		r.Put(registrar.Entry{ID: id, Address: address, Slots: 1})
+		r.Put(registrar.Entry{ID: id, Pool: "p", Address: address, Version: "v1", Slots: 1})
 	})
 }
 
--- a/foxtaild/forwarder/stream.go
+++ b/foxtaild/forwarder/stream.go
@@ -72,6 +72,10 @@
 	var first, last time.Time
 	events := 0
 	err := a.readEvents(resp.Body, func(e event) error {
+		if a.successor != nil && a.origin == nil {
+			// The successor may have another version.
+			return errTakenOver
+		}
 		if e.isTerminator {
 			a.phase = awaitingEnd
 		}
@@ -96,7 +100,7 @@
 	})
 	if events > 1 {
 		a.finish.Generating = last.Sub(first)
-		a.finish.Tokens = (events - 1) * a.directory.Stride(a.r.Pool)
+		a.finish.Tokens = (events - 1) * a.directory.Stride(a.pool)
 	}
 	switch {
 	case a.phase == awaitingEnd:
@@ -117,6 +121,8 @@
 	case errors.Is(err, errCallerWrite):
 		a.setContextRefusal(ctx)
 		return attemptResult{ending: coordinator.Cancelled, final: true}
+	case errors.Is(err, errOtherVersion) && a.successor == nil:
+		return a.endRestarted()
 	}
 	return a.endLost(ctx, err)
 }
@@ -129,7 +135,15 @@
 	if e.id != NoEvent && a.lastEventID != NoEvent && e.id != a.lastEventID+1 {
 		return errMissingEvent
 	}
+	if !a.relayed {
+		if err := a.checkRestart(); err != nil {
+			return err
+		}
+		a.relayed = true
+		a.relayedVersions = append(a.relayedVersions, a.version)
+	}
 	if !a.headSent {
+		a.recordOrigin()
 		if err := a.responder.Begin(resp.StatusCode, resp.Header, -1); err != nil {
 			return errCallerWrite
 		}
--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -81,7 +81,7 @@
 // mayTakeOver reports whether another upstream may take the request over.
 func (w *watcher) mayTakeOver() bool {
 	r := w.r
-	return r.Route.Retryable() && w.dispatched < r.Route.Attempts &&
+	return r.Route.Retryable() && w.dispatched < r.Route.Attempts && w.mayGoOn() &&
 		(w.phase == awaitingHead || w.phase == awaitingEvent)
 }
 
@@ -177,7 +177,7 @@
 func (a *attempt) takeOver(ctx context.Context, g Grant) bool {
 	if e, ok := a.directory.Usable(g.Upstream, time.Now()); ok && e.Address == a.upstream.Address {
 		// One of the two entries is outdated: the silent upstream would get the request again.
-		a.markTried(g.Upstream, e.Version)
+		a.exclude(g.Upstream)
 		g.ReportFinish(coordinator.Finish{Ending: coordinator.Unused})
 		return false
 	}
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -48,7 +48,7 @@
 	Resumes string
 	// Stream identifies the stream that the request begins, and ResumedStream the one
 	// that Resumes began. All hosts derive the same keys from the same requests, and
-	// those of different callers and targets differ.
+	// those of different callers and targets differ; 0 means none.
 	Stream, ResumedStream pinner.Key
 	// Cost is charged to the workspace's quota, in tokens.
 	Cost float64
