registrar, directory, router: versions by pool, pools of a route

What watches the possible origins of streams needs the versions of each pool, also those of upstreams that are leaving, and the pools that a route may pick. The registrar counts entries by version as they come and go, so that a reader with 6,900 upstreams pays only when a version does.

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -221,6 +221,21 @@
 	return e, d.registrar.Usable(id, now)
 }
 
+// Versions returns the software versions of each pool's upstreams, usable or not, and
+// how many times a version has come or gone so far.
+func (d *Directory) Versions() (byPool map[string][]string, changes uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registrar.Versions(), d.registrar.VersionChanges()
+}
+
+// VersionChanges returns how many times a version has come or gone in a pool so far.
+func (d *Directory) VersionChanges() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registrar.VersionChanges()
+}
+
 // Stride returns the number of tokens per event in the streams of a pool.
 func (d *Directory) Stride(pool string) int {
 	if t := d.Table(); t != nil {
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -70,6 +70,10 @@
 	left, departed map[string]int64
 	departedUntil  time.Time
 	held           map[string]Entry
+	// versions counts the entries of each version in each pool, and versionChanges how
+	// many times a version has come or gone.
+	versions       map[poolVersion]int
+	versionChanges uint64
 }
 
 // removal is an entry that was removed.
@@ -89,6 +93,7 @@
 	return &Registrar{
 		records: make(map[string]*record), evacuated: make(map[string]time.Time), removed: make(map[string]removal),
 		left: make(map[string]int64), departed: make(map[string]int64), held: make(map[string]Entry),
+		versions: make(map[poolVersion]int),
 	}
 }
 
@@ -114,6 +119,10 @@
 		return
 	}
 	r.changes++
+	r.countVersion(e, 1)
+	if old != nil {
+		r.countVersion(old.Entry, -1)
+	}
 	r.records[e.ID] = &record{Entry: e, changed: r.changes}
 	delete(r.removed, e.ID)
 }
@@ -142,6 +151,7 @@
 		return
 	}
 	delete(r.records, id)
+	r.countVersion(old.Entry, -1)
 	r.changes++
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
--- a/scheduler/router/router.go
+++ b/scheduler/router/router.go
@@ -10,6 +10,7 @@
 package router
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -89,6 +90,9 @@
 // Pools returns all pools.
 func (t *Table) Pools() []Pool { return t.doc.Pools }
 
+// Routes returns all routes.
+func (t *Table) Routes() []Route { return t.doc.Routes }
+
 // Workspaces returns all workspaces.
 func (t *Table) Workspaces() []Workspace { return t.doc.Workspaces }
 
@@ -155,6 +159,19 @@
 	return r.Targets[len(r.Targets)-1].Pool
 }
 
+// Pools returns the pools that Target may return.
+func (r *Route) Pools() (pools []string) {
+	for _, t := range r.Targets {
+		if t.Weight > 0 && !slices.Contains(pools, t.Pool) {
+			pools = append(pools, t.Pool)
+		}
+	}
+	if len(pools) == 0 {
+		return []string{r.Targets[0].Pool}
+	}
+	return pools
+}
+
 // Versioned holds the table in force. It is safe for concurrent use.
 type Versioned struct {
 	table atomic.Pointer[Table]
--- a/scheduler/router/router_test.go
+++ b/scheduler/router/router_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"foxtaillug.org/scheduler/router"
@@ -103,6 +105,33 @@
 	}
 }
 
+func TestPoolsAreThoseOfTarget(t *testing.T) {
+	tests := map[string]struct {
+		targets []router.Target
+		want    []string
+	}{
+		"one":                {[]router.Target{{Pool: "a", Weight: 1}}, []string{"a"}},
+		"one, no weight":     {[]router.Target{{Pool: "a"}}, []string{"a"}},
+		"split":              {[]router.Target{{Pool: "a", Weight: 1}, {Pool: "b", Weight: 3}, {Pool: "c"}}, []string{"a", "b"}},
+		"the first has none": {[]router.Target{{Pool: "a"}, {Pool: "b", Weight: 3}}, []string{"b"}},
+		"negative":           {[]router.Target{{Pool: "a", Weight: -1}, {Pool: "b", Weight: 1}}, []string{"b"}},
+		"no weight at all":   {[]router.Target{{Pool: "a"}, {Pool: "b"}}, []string{"a"}},
+		"listed twice":       {[]router.Target{{Pool: "a", Weight: 1}, {Pool: "a", Weight: 1}}, []string{"a"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := router.Route{Targets: tt.targets}
+			got := map[string]bool{}
+			for i := range 1000 {
+				got[r.Target(fmt.Sprint("request-", i))] = true
+			}
+			if pools := r.Pools(); !slices.Equal(pools, tt.want) || !slices.Equal(slices.Sorted(maps.Keys(got)), tt.want) {
+				t.Errorf("pools %v, requests go to %v, want %v", pools, got, tt.want)
+			}
+		})
+	}
+}
+
 func TestVersionsNeverRevert(t *testing.T) {
 	var v router.Versioned
 	for _, step := range []struct {
