pinner: search for old records at most ten times a second when full

Each record for which there is no room searched all 65,536 for old ones. A datagram brings up to 600 copies, so a full host would have spent the time of 600 searches on each. No test of its own: only the cost changes, and by 100 ms when a record is found to be old.

--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -13,6 +13,9 @@
 	// maxRecords bounds the records of a host. At 50 streams a second that last 15 s,
 	// with three copies each, a host holds 3,000.
 	maxRecords = 1 << 16
+	// minPruneInterval is the minimum time between two searches for old records when
+	// there is no room, so that many records at once don't each cost one.
+	minPruneInterval = 100 * time.Millisecond
 )
 
 // Key identifies a stream by the request that brought its first event.
@@ -57,6 +60,8 @@
 	observedAt time.Time
 	window     time.Duration
 	dropped    uint64
+	// prunedAt is the time of the last Prune.
+	prunedAt time.Time
 }
 
 // New returns a pinner that knows nothing.
@@ -93,7 +98,9 @@
 // put adds or replaces a record. If there is no room for another one it is dropped.
 func (p *Pinner) put(k Key, r record, now time.Time) {
 	if _, known := p.records[k]; !known && len(p.records) >= maxRecords {
-		p.Prune(now)
+		if now.Sub(p.prunedAt) >= minPruneInterval {
+			p.Prune(now)
+		}
 		if len(p.records) >= maxRecords {
 			p.dropped++
 			return
@@ -104,6 +111,7 @@
 
 // Prune removes the records of streams that can't be taken up any more.
 func (p *Pinner) Prune(now time.Time) {
+	p.prunedAt = now
 	maps.DeleteFunc(p.records, func(_ Key, r record) bool { return !now.Before(r.until) })
 }
 
