linker, platform: exchange the origins of streams between hosts

A caller that takes its stream up again at another host has to go on at the version that began it. Linker.Origins implements forwarder.Origins on package pinner:

- Copies of records go to their holders every 50 ms, one datagram per host, while several origins are possible on the route.
A host that leaves hands over all of its records.
- Find asks the sources of a stream, once more after 60 ms, for 150 ms in all.
A second round asks all again if all have answered and none knows: a copy may be on its way.
- Each question has a random number of its own, so that an answer counts once and only if it was asked for, whatever address it comes from.
- The directory is observed when a version comes or goes, and every 250 ms.

Messages are CBOR arrays on the membership socket; builds before fail to decode them (TestOlderBuildsIgnoreMessagesOnOrigins). New tests over sockets on loopback: TestRecordsOutliveTheirHost, TestHostsThatHoldNoCopyAsk, TestRecordsOutliveHostsThatLeaveInTurn, TestHostThatHasJustStartedAsks, TestSoleVersionNeedsNoCopies, TestHostCutOffFindsNothing, TestUnknownStreamIsNotFound, TestInvalidDatagramsHaveNoEffect.

--- a/foxtaild/linker/doc.go
+++ b/foxtaild/linker/doc.go
@@ -8,7 +8,8 @@
 // election.
 //
 // Membership messages also carry reports of requests that crash upstreams, so that
-// every host refuses them (package inspector).
+// every host refuses them (package inspector). Over the same socket hosts send each other
+// records of where streams began, and ask for them (package pinner, origins.go).
 //
 // One goroutine owns the coordinator (loop.go) and one owns the membership
 // (gossip.go). Each outgoing link has a reader and a writer goroutine
--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -42,6 +42,13 @@
 	// plus one for this host.
 	members []detector.Member
 	hosts   int
+	// alone reports whether this host has never had another to connect to.
+	alone bool
+}
+
+// isAlone reports whether the settings name no other host.
+func isAlone(s Settings) bool {
+	return !slices.ContainsFunc(s.Seeds, func(address string) bool { return address != s.Address })
 }
 
 // isReader reports whether the host at an address reads the store.
@@ -68,6 +75,7 @@
 func (l *Linker) deriveView() *view {
 	self := l.detector.Self()
 	v := &view{coordinators: make(map[string]string), members: l.detector.Members()}
+	v.alone = l.view.Load().alone && len(v.members) == 0
 	oldest := make(map[string]detector.Member)
 	for _, m := range append(slices.Clone(v.members), self) {
 		v.hosts++
--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -87,13 +87,18 @@
 			time.Sleep(gossipTick)
 			continue
 		}
+		address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+		if isOriginsMessage(buf[:n]) {
+			l.origins.receive(buf[:n], address)
+			continue
+		}
 		var m gossipMessage
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			l.log.Debug("can't decode datagram", "from", from.String(), "error", err.Error())
+			l.log.Debug("can't decode datagram", "from", address, "error", err.Error())
 			continue
 		}
 		select {
-		case in <- datagram{from: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), message: m}:
+		case in <- datagram{from: address, message: m}:
 		default:
 		}
 	}
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -47,6 +47,7 @@
 	crashes, partCrashes CrashReports
 	udpConn              *net.UDPConn
 	listener             net.Listener
+	origins              *Origins
 	view                 atomic.Pointer[view]
 	// seenChanges is the detector's number of changes when the view was
 	// derived, viewedAt is when that was, and wasSettled reports whether this
@@ -122,7 +123,8 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.loop.sinks[s.Host] = l.deliverLocal
-	l.view.Store(&view{readers: []string{s.Address}})
+	l.origins = newOrigins(l)
+	l.view.Store(&view{readers: []string{s.Address}, alone: isAlone(s)})
 	if l.udpConn, err = net.ListenUDP("udp4", addr); err != nil {
 		return nil, err
 	}
@@ -146,20 +148,25 @@
 	wg.Go(func() { l.fetchSnapshots(ctx) })
 	wg.Go(func() { l.feedFollowers(ctx) })
 	wg.Go(func() { l.followReaders(ctx) })
+	wg.Go(func() { l.origins.run(ctx) })
 	wg.Wait()
 }
 
 // Leave announces to the fleet that this host is leaving, so that it is no longer
-// chosen as a coordinator or store reader. It must be called at most once.
+// chosen as a coordinator or store reader, and hands the records of origins over to
+// others within a second. It must be called at most once.
 func (l *Linker) Leave() { close(l.leaving) }
 
+// Origins returns what this host and the others know of where streams began.
+func (l *Linker) Origins() *Origins { return l.origins }
+
 // Members returns the other known hosts.
 func (l *Linker) Members() []detector.Member { return l.view.Load().members }
 
 // Gauges returns metrics: the known hosts by state, whether this host is a
 // coordinator, the links to other hosts, the granted requests of this entry host
-// that have not ended, and the load of the pools as seen by this host's own
-// coordinator.
+// that have not ended, the records of origins, and the load of the pools as seen by this
+// host's own coordinator.
 func (l *Linker) Gauges() []reporter.Gauge {
 	v := l.view.Load()
 	states := map[detector.Status]int{detector.Alive: 1, detector.Suspect: 0, detector.Dead: 0}
@@ -177,6 +184,7 @@
 		{Name: "links", Value: float64(links)},
 		{Name: "requests_running", Value: float64(running)},
 	}
+	gauges = append(gauges, l.origins.gauges()...)
 	for _, p := range l.loop.loads() {
 		for name, n := range map[string]int{
 			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected,
