linker: ignore membership messages that name no host

An empty CBOR map was read as a ping of a host without a name, which became a member. TestInvalidDatagramsHaveNoEffect/empty_map and /copies_in_a_map failed with one member and pass now.

--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -97,6 +97,10 @@
 			l.log.Debug("can't decode datagram", "from", address, "error", err.Error())
 			continue
 		}
+		if m.From.ID == "" {
+			l.log.Debug("datagram names no host", "from", address)
+			continue
+		}
 		select {
 		case in <- datagram{from: address, message: m}:
 		default:
--- a/foxtaild/linker/origins_test.go
+++ b/foxtaild/linker/origins_test.go
@@ -335,6 +335,8 @@
 		"truncated":          valid[:20],
 		"more than one":      append(slices.Clone(valid), 0x00),
 		"empty array":        mustEncode(t, []any{}),
+		"empty map":          mustEncode(t, map[int]any{}),
+		"copies in a map":    mustEncode(t, map[int]any{0: []any{copies}, 1: nil, 2: nil}),
 		"records in a map":   mustEncode(t, []any{[]any{map[int]any{0: "engines", 1: "v1", 2: []any{record}}}, nil, nil}),
 		"array of members":   mustEncode(t, []any{0, 1, []any{"id", "127.0.0.1:1", "a", "r", 1}}),
 		"longer array":       mustEncode(t, []any{[]any{copies}, nil, nil, nil}),
