--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// maxRecords bounds the records of a host. At 50 streams a second that last 15 s, with
-// three copies each, a host holds 3,000.
-const maxRecords = 1 << 16
+const (
+	// maxRecords bounds the records of a host. At 50 streams a second that last 15 s,
+	// with three copies each, a host holds 3,000.
+	maxRecords = 1 << 16
+	// minPruneInterval is the minimum time between two searches for old records when
+	// there is no room, so that many records at once don't each cost one.
+	minPruneInterval = 100 * time.Millisecond
+)
 
 // Key identifies a stream by the request that brought its first event.
 type Key uint64
@@ -41,6 +46,8 @@
 	window  time.Duration
 	windows []windowUse
 	dropped uint64
+	// prunedAt is the time of the last Prune.
+	prunedAt time.Time
 }
 
 // New returns a pinner that knows nothing.
@@ -88,7 +95,9 @@
 // and returns false.
 func (p *Pinner) put(k Key, r record, now time.Time) bool {
 	if _, known := p.records[k]; !known && len(p.records) >= maxRecords {
-		p.Prune(now)
+		if now.Sub(p.prunedAt) >= minPruneInterval {
+			p.Prune(now)
+		}
 		if len(p.records) >= maxRecords {
 			p.dropped++
 			return false
@@ -100,6 +109,7 @@
 
 // Prune removes the records of streams that can't be taken up any more.
 func (p *Pinner) Prune(now time.Time) {
+	p.prunedAt = now
 	for k, r := range p.records {
 		if !now.Before(r.until) {
 			delete(p.records, k)
