pinner, forwarder: a caller that names no stream goes on while one origin is possible

Where the route's streams have one possible origin now, there is nothing to confuse; with two versions or pools in service such a request stays refused.

--- a/foxtaild/forwarder/origin.go
+++ b/foxtaild/forwarder/origin.go
@@ -59,10 +59,11 @@
 	switch {
 	case !r.resumable():
 		cause = "notResumable"
-	case r.stream() == 0:
-		cause = "unnamed"
 	default:
 		cause = "unknown"
+		if r.stream() == 0 {
+			cause = "unnamed"
+		}
 		start := time.Now()
 		o, known = h.origins.Find(ctx, StreamID{r.stream(), r.Route.Name})
 		h.waited += time.Since(start)
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -240,7 +240,8 @@
 	// time, and sent to other hosts in the background.
 	Record(s StreamID, o pinner.Origin, until time.Time)
 	// Find returns the origin of a stream that a caller takes up again. It returns false
-	// if no host that it reaches in time knows it.
+	// if no host that it reaches in time knows it. A stream with a zero key is one that
+	// the caller does not name; it is found if only one origin is possible now.
 	Find(ctx context.Context, s StreamID) (o pinner.Origin, ok bool)
 }
 
--- a/scheduler/pinner/pinner_test.go
+++ b/scheduler/pinner/pinner_test.go
@@ -67,6 +67,33 @@
 
 var mixed = pinner.Answer{Knowledge: pinner.Mixed}
 
+// TestCurrentOrigin has origins of a route come and go.
+func TestCurrentOrigin(t *testing.T) {
+	tests := map[string]struct {
+		origins []pinner.Origin
+		want    bool
+	}{
+		"one":               {[]pinner.Origin{first}, true},
+		"none":              {[]pinner.Origin{}, false},
+		"two versions":      {[]pinner.Origin{first, second}, false},
+		"two pools":         {[]pinner.Origin{first, moved}, false},
+		"without a version": {[]pinner.Origin{versionless}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := watcher{pinner.New(), start}
+			w.observe(interval, second)
+			w.observe(interval, tt.origins...)
+			if o, ok := w.Current(route); ok != tt.want || ok && o != first {
+				t.Errorf("got %+v, %v; want %v", o, ok, tt.want)
+			}
+			if _, ok := w.Current("another route"); ok {
+				t.Error("a route that is not watched has a current origin")
+			}
+		})
+	}
+}
+
 func TestWatchOfRoute(t *testing.T) {
 	tests := map[string]struct {
 		do   func(w *watcher)
--- a/scheduler/pinner/watch.go
+++ b/scheduler/pinner/watch.go
@@ -137,6 +137,16 @@
 	return Answer{}
 }
 
+// Current returns the origin that streams of a route which begin now have, if there is only
+// one. It serves callers that take a stream up without naming it.
+func (p *Pinner) Current(route string) (o Origin, ok bool) {
+	w := p.watches[route]
+	if w == nil || len(w.possible) != 1 || w.possible[0].Version == "" {
+		return o, false
+	}
+	return w.possible[0], true
+}
+
 // settled reports whether a route has had a sole origin for so long that other hosts know
 // the same.
 func (p *Pinner) settled(route string, now time.Time) bool {
