linker: answers on origins follow the directory at once

A host whose directory had just got a second version went on answering "sole" until its next tick, at most 50 ms later, and two such hosts confirm each other.

--- a/foxtaild/linker/bench_test.go
+++ b/foxtaild/linker/bench_test.go
@@ -3,14 +3,20 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/coordinator"
 	"foxtaillug.org/scheduler/detector"
+	"foxtaillug.org/scheduler/pinner"
 	"foxtaillug.org/scheduler/quarantiner"
+	"foxtaillug.org/scheduler/registrar"
+	"foxtaillug.org/scheduler/router"
 )
 
 // BenchmarkControlBytes reports the bytes that one request costs between its
@@ -91,3 +97,85 @@
 	}
 	b.ReportMetric(float64(size), "B/message")
 }
+
+// fleetWatch returns the origins of a host with 6,900 upstreams in 100 pools at three
+// versions and 2,000 routes.
+func fleetWatch(b *testing.B) *Origins {
+	b.Helper()
+	const pools, upstreams, routes, versions = 100, 6900, 2000, 3
+	doc := router.Document{Version: 1}
+	for i := range pools {
+		doc.Pools = append(doc.Pools, router.Pool{Name: fmt.Sprint("pool-", i)})
+	}
+	for i := range routes {
+		doc.Routes = append(doc.Routes, router.Route{
+			Name: fmt.Sprint("route-", i), Host: fmt.Sprint("h", i), Prefix: "/", Kind: router.Streaming, Resumable: true,
+			Timeout: 15 * time.Second, Targets: []router.Target{{Pool: fmt.Sprint("pool-", i%pools), Weight: 1}},
+		})
+	}
+	d := directory.New(slog.New(slog.DiscardHandler))
+	if err := d.Configure(doc); err != nil {
+		b.Fatal(err)
+	}
+	d.Update(registrar.Position{Revision: 1}, func(r *registrar.Registrar) {
+		for i := range upstreams {
+			r.Put(registrar.Entry{ID: fmt.Sprintf("i-%010x", i), Pool: fmt.Sprint("pool-", i%pools), Version: fmt.Sprint("v1.", i/pools%versions)})
+		}
+	})
+	d.MarkListed()
+	return newOrigins(&Linker{directory: d})
+}
+
+// BenchmarkObserve reports the time of one observation of the directory, in which a
+// version comes or goes or nothing changes.
+func BenchmarkObserve(b *testing.B) {
+	for name, changed := range map[string]bool{"unchanged": false, "versionChanged": true} {
+		b.Run(name, func(b *testing.B) {
+			o, now, n := fleetWatch(b), time.Now(), 0
+			for b.Loop() {
+				n++
+				now = now.Add(observeInterval)
+				o.linker.directory.RecordStoreResponse(now)
+				if changed {
+					o.linker.directory.Update(registrar.Position{Revision: 2}, func(r *registrar.Registrar) {
+						r.Put(registrar.Entry{ID: "new", Pool: "pool-1", Version: fmt.Sprint("v2.", n%2)})
+					})
+				}
+				o.observe(now)
+			}
+		})
+	}
+}
+
+// BenchmarkOriginBytes reports the bytes of messages on origins: what a datagram costs
+// for each record in it, for batches of one tick, and a question with its answer.
+func BenchmarkOriginBytes(b *testing.B) {
+	now := time.Now()
+	size := func(m originsMessage) float64 {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(data))
+	}
+	copies := func(n, versions int) float64 {
+		var queue []queuedCopy
+		for i := range n {
+			origin := pinner.Origin{Pool: "stone-model", Version: fmt.Sprint("v1.", i%versions)}
+			queue = append(queue, queuedCopy{pinner.Key(0x1234567890abcdef + i), origin, now.Add(17 * time.Second)})
+		}
+		m, _, _ := packCopies(queue, now)
+		return size(m)
+	}
+	var one, three, batch, question, answer float64
+	for b.Loop() {
+		one, three, batch = copies(1, 1), copies(3, 3), copies(300, 3)
+		question = size(originsMessage{Question: &originQuestion{Number: 0xfedcba0987654321, Key: 0x1234567890abcdef, Route: "stone-generate"}})
+		answer = size(originsMessage{Answer: &originAnswer{Number: 0xfedcba0987654321, Knowledge: pinner.Recorded, Pool: "stone-model", Version: "v1.1"}})
+	}
+	b.ReportMetric(one, "B/datagramOf1")
+	b.ReportMetric(three, "B/datagramOf3")
+	b.ReportMetric(batch/300, "B/recordOf300")
+	b.ReportMetric(question, "B/question")
+	b.ReportMetric(answer, "B/answer")
+}
--- a/foxtaild/linker/origins.go
+++ b/foxtaild/linker/origins.go
@@ -29,7 +29,6 @@
 // concurrent use.
 type Origins struct {
 	linker *Linker
-	watch  originWatch
 	// outbox holds the copies for other hosts by address, and handedOver the end of the
 	// records that a leaving host has handed over, nil if it is not leaving. Both belong
 	// to run.
@@ -39,6 +38,7 @@
 
 	mu     sync.Mutex
 	pinner *pinner.Pinner
+	watch  originWatch
 	// inquiries are those under way by the numbers of their questions that have no
 	// answer.
 	inquiries              map[uint64]*inquiry
@@ -74,14 +74,19 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		o.observe(now)
+		o.advance(now)
 		o.share(now)
-		if now.Sub(o.prunedAt) >= pruneInterval {
-			o.prunedAt = now
-			o.mu.Lock()
-			o.pinner.Prune(now)
-			o.mu.Unlock()
-		}
+	}
+}
+
+// advance observes the directory and removes old records.
+func (o *Origins) advance(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.observe(now)
+	if now.Sub(o.prunedAt) >= pruneInterval {
+		o.prunedAt = now
+		o.pinner.Prune(now)
 	}
 }
 
@@ -145,7 +150,7 @@
 	}
 	if q := m.Question; q != nil {
 		o.mu.Lock()
-		a := o.pinner.Answer(pinner.Key(q.Key), q.Route, now)
+		a := o.answer(pinner.Key(q.Key), q.Route, now)
 		o.mu.Unlock()
 		o.send(originsMessage{Answer: &originAnswer{
 			Number: q.Number, Knowledge: a.Knowledge, Pool: a.Origin.Pool, Version: a.Origin.Version,
--- a/foxtaild/linker/origins_find.go
+++ b/foxtaild/linker/origins_find.go
@@ -84,7 +84,7 @@
 	v := o.linker.view.Load()
 	var hosts []pinner.Host
 	o.mu.Lock()
-	own := o.pinner.Answer(s.Key, s.Route, time.Now())
+	own := o.answer(s.Key, s.Route, time.Now())
 	o.mu.Unlock()
 	if own.Knowledge != pinner.Recorded {
 		hosts = pinner.Sources(s.Key, pinnerHosts(v.members, isSource))
--- a/foxtaild/linker/origins_watch.go
+++ b/foxtaild/linker/origins_watch.go
@@ -20,8 +20,7 @@
 	returnTime = 2 * time.Second
 )
 
-// originWatch is the state from which the possible origins of streams are derived. It is
-// not safe for concurrent use.
+// originWatch is the state from which the possible origins of streams are derived.
 type originWatch struct {
 	// table and versionChanges are those that possible was derived from.
 	table          *router.Table
@@ -35,7 +34,8 @@
 	observedAt      time.Time
 }
 
-// observe has the pinner observe the directory if that has changed, and regularly.
+// observe has the pinner observe the directory if the possible origins may have changed,
+// and regularly. The caller holds the lock.
 func (o *Origins) observe(now time.Time) {
 	d, w := o.linker.directory, &o.watch
 	t := d.Table()
@@ -51,10 +51,14 @@
 	}
 	w.observedAt = now
 	w.updateWindow(now)
-	upToDate := d.Loaded() && !d.StoreStale(now, maxDirectoryAge)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.pinner.Observe(w.possible, upToDate, w.window, now)
+	o.pinner.Observe(w.possible, d.Loaded() && !d.StoreStale(now, maxDirectoryAge), w.window, now)
+}
+
+// answer returns what this host knows of the origin of a stream. A version that has come
+// since the last tick counts. The caller holds the lock.
+func (o *Origins) answer(k pinner.Key, route string, now time.Time) pinner.Answer {
+	o.observe(now)
+	return o.pinner.Answer(k, route, now)
 }
 
 // updateWindow raises the window with the timeout at once and lowers it when the streams
