--- a/foxtaild/linker/bench_test.go
+++ b/foxtaild/linker/bench_test.go
@@ -179,3 +179,42 @@
 	b.ReportMetric(question, "B/question")
 	b.ReportMetric(answer, "B/answer")
 }
+
+// BenchmarkShare reports what a host sends and spends on copies in a second while three
+// versions are mixed, with 48 new streams a second at each host.
+func BenchmarkShare(b *testing.B) {
+	const perSecond, headerBytes = 48, 28
+	for name, fleet := range map[string]struct{ hosts, domains int }{"9hosts": {9, 3}, "90hosts": {90, 9}, "1200hosts": {1200, 24}} {
+		b.Run(name, func(b *testing.B) {
+			var hosts []pinner.Host
+			for i := 1; i < fleet.hosts; i++ {
+				hosts = append(hosts, pinner.Host{ID: fmt.Sprint("edge-", i), Domain: fmt.Sprint(i % fleet.domains), Address: fmt.Sprint(i)})
+			}
+			now, key, size, datagrams := time.Now(), pinner.Key(0), 0, 0
+			for b.Loop() {
+				for tick := range int(time.Second / shareInterval) {
+					outbox := make(map[string][]queuedCopy)
+					for range perSecond*(tick+1)*int(shareInterval)/int(time.Second) - perSecond*tick*int(shareInterval)/int(time.Second) {
+						key += 0x9e3779b97f4a7c15
+						c := queuedCopy{key, pinner.Origin{Pool: "stone-model", Version: fmt.Sprint("v1.", key%3)}, now.Add(17 * time.Second)}
+						for _, h := range pinner.Holders(key, "0", hosts) {
+							outbox[h.Address] = append(outbox[h.Address], c)
+						}
+					}
+					for _, queue := range outbox {
+						m, _, _ := packCopies(queue, now)
+						data, err := cbor.Marshal(m)
+						if err != nil {
+							b.Fatal(err)
+						}
+						size += len(data)
+						datagrams++
+					}
+				}
+			}
+			b.ReportMetric(float64(size)/float64(b.N), "B/s")
+			b.ReportMetric(float64(size+headerBytes*datagrams)/float64(b.N), "B/sWithHeaders")
+			b.ReportMetric(float64(datagrams)/float64(b.N), "datagrams/s")
+		})
+	}
+}
