linker, pinner: merged parts agree on windows, zero keys and when copies stop

The longest time for which an origin that has left may still be used (30 s) is an option, so that tests with real hosts need not wait for it. The linker leaves longer and shorter windows to pinner, which handles them, and uses the forwarder's time for callers to come back. Answers are awaited for 300 ms, as only unknown streams wait that long. Old records are removed after copies were sent, not before. A zero key finds the route's only possible origin.

--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -15,6 +15,7 @@
 	"foxtaillug.org/foxtaild/reporter"
 	"foxtaillug.org/scheduler/coordinator"
 	"foxtaillug.org/scheduler/detector"
+	"foxtaillug.org/scheduler/pinner"
 )
 
 // Settings identify a host and say how it reaches the others.
@@ -87,6 +88,11 @@
 	return func(l *Linker) { l.crashes, l.partCrashes = requests, parts }
 }
 
+// WithOriginOptions sets options of what the host knows of the origins of streams.
+func WithOriginOptions(opts ...pinner.Option) Option {
+	return func(l *Linker) { l.origins = newOrigins(l, opts...) }
+}
+
 // New opens the sockets of a host. The caller must call Run.
 func New(s Settings, d *directory.Directory, log *slog.Logger, opts ...Option) (l *Linker, err error) {
 	defer func() {
@@ -118,12 +124,12 @@
 		crashes:      noCrashReports{},
 		partCrashes:  noCrashReports{},
 	}
+	l.origins = newOrigins(l)
 	for _, opt := range opts {
 		opt(l)
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.loop.sinks[s.Host] = l.deliverLocal
-	l.origins = newOrigins(l)
 	l.view.Store(&view{readers: []string{s.Address}, alone: isAlone(s)})
 	if l.udpConn, err = net.ListenUDP("udp4", addr); err != nil {
 		return nil, err
--- a/foxtaild/linker/origins.go
+++ b/foxtaild/linker/origins.go
@@ -46,9 +46,9 @@
 }
 
 // newOrigins returns the origins of a host that knows none yet.
-func newOrigins(l *Linker) *Origins {
+func newOrigins(l *Linker, opts ...pinner.Option) *Origins {
 	return &Origins{
-		linker: l, pinner: pinner.New(), outbox: make(map[string][]queuedCopy), inquiries: make(map[uint64]*inquiry),
+		linker: l, pinner: pinner.New(opts...), outbox: make(map[string][]queuedCopy), inquiries: make(map[uint64]*inquiry),
 	}
 }
 
@@ -74,16 +74,18 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		o.advance(now)
+		o.mu.Lock()
+		o.observe(now)
+		o.mu.Unlock()
 		o.share(now)
+		o.prune(now)
 	}
 }
 
-// advance observes the directory and removes old records.
-func (o *Origins) advance(now time.Time) {
+// prune removes old records, once per pruneInterval.
+func (o *Origins) prune(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.observe(now)
 	if now.Sub(o.prunedAt) >= pruneInterval {
 		o.prunedAt = now
 		o.pinner.Prune(now)
--- a/foxtaild/linker/origins_find.go
+++ b/foxtaild/linker/origins_find.go
@@ -12,8 +12,8 @@
 
 const (
 	// findTimeout bounds the time in which other hosts are asked for an origin. Their
-	// answers take one round trip, also between regions.
-	findTimeout = 150 * time.Millisecond
+	// answers take one round trip, also between regions, and hosts under load some more.
+	findTimeout = 300 * time.Millisecond
 	// askAgainAfter is when hosts that have not answered are asked again. If all have and
 	// none knows the origin, all are: a copy of its record may just have been sent.
 	askAgainAfter = shareInterval + 10*time.Millisecond
@@ -42,6 +42,11 @@
 // Find returns the origin of a stream that a caller takes up again. It returns false if
 // neither this host nor those that answer in time know it.
 func (o *Origins) Find(ctx context.Context, s forwarder.StreamID) (origin pinner.Origin, ok bool) {
+	if s.Key == 0 {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.pinner.Current(s.Route)
+	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
--- a/foxtaild/linker/origins_watch.go
+++ b/foxtaild/linker/origins_watch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"foxtaillug.org/foxtaild/forwarder"
 	"foxtaillug.org/scheduler/pinner"
 	"foxtaillug.org/scheduler/router"
 )
@@ -17,7 +18,7 @@
 	maxDirectoryAge = 2 * time.Second
 	// returnTime is the time after the end of a request in which its caller may take the
 	// stream up again.
-	returnTime = 2 * time.Second
+	returnTime = forwarder.ResumptionDelay
 )
 
 // originWatch is the state from which the possible origins of streams are derived.
@@ -26,12 +27,9 @@
 	table          *router.Table
 	versionChanges uint64
 	possible       map[string][]pinner.Origin
-	// timeout is the longest timeout now, and window the longest time for which a stream
-	// may go on: streams that began under a longer timeout keep it. longAt is when the
-	// timeout was last as long.
-	timeout, window time.Duration
-	longAt          time.Time
-	observedAt      time.Time
+	// timeout is the longest timeout of the routes of such streams.
+	timeout    time.Duration
+	observedAt time.Time
 }
 
 // observe has the pinner observe the directory if the possible origins may have changed,
@@ -50,8 +48,7 @@
 		w.possible, w.timeout = possibleOrigins(t, versions)
 	}
 	w.observedAt = now
-	w.updateWindow(now)
-	o.pinner.Observe(w.possible, d.Loaded() && !d.StoreStale(now, maxDirectoryAge), w.window, now)
+	o.pinner.Observe(w.possible, d.Loaded() && !d.StoreStale(now, maxDirectoryAge), w.timeout+returnTime, now)
 }
 
 // answer returns what this host knows of the origin of a stream. A version that has come
@@ -61,14 +58,6 @@
 	return o.pinner.Answer(k, route, now)
 }
 
-// updateWindow raises the window with the timeout at once and lowers it when the streams
-// of the longer timeout have ended.
-func (w *originWatch) updateWindow(now time.Time) {
-	if window := w.timeout + returnTime; window >= w.window || now.Sub(w.longAt) > w.window {
-		w.window, w.longAt = window, now
-	}
-}
-
 // possibleOrigins returns the origins that streams of each route which callers may take up
 // again can have, and the longest timeout of these routes.
 func possibleOrigins(t *router.Table, versions map[string][]string) (possible map[string][]pinner.Origin, timeout time.Duration) {
--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -45,14 +45,32 @@
 	// which get shorter.
 	window  time.Duration
 	windows []windowUse
-	dropped uint64
+	// staleness is for how long an origin that has left may still be used elsewhere.
+	staleness time.Duration
+	dropped   uint64
 	// prunedAt is the time of the last Prune.
 	prunedAt time.Time
 }
 
+// Option configures a Pinner.
+type Option func(*Pinner)
+
+// WithStaleness sets the longest time for which another host may go on beginning streams
+// at an origin that this host has seen leave.
+func WithStaleness(d time.Duration) Option {
+	return func(p *Pinner) { p.staleness = d }
+}
+
 // New returns a pinner that knows nothing.
-func New() *Pinner {
-	return &Pinner{records: make(map[Key]record), unshared: make(map[Key]bool), watches: make(map[string]*watch)}
+func New(opts ...Option) *Pinner {
+	p := &Pinner{
+		records: make(map[Key]record), unshared: make(map[Key]bool), watches: make(map[string]*watch),
+		staleness: DefaultStaleness,
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Record keeps the origin of a stream that this host serves on a route. It is an event of
--- a/scheduler/pinner/watch.go
+++ b/scheduler/pinner/watch.go
@@ -9,11 +9,11 @@
 	// maxObservationGap is the longest time between two observations that still make
 	// up one watch. A host that was suspended for longer may have missed an origin.
 	maxObservationGap = time.Second
-	// maxStaleness bounds the time for which another host goes on beginning streams at
-	// an origin that this host has seen leave. A host that is cut off together with
-	// upstreams uses them for as long as they serve, a partition or a drain of up to
-	// half a minute.
-	maxStaleness = 30 * time.Second
+	// DefaultStaleness bounds the time for which another host goes on beginning streams
+	// at an origin that this host has seen leave, unless WithStaleness sets another one.
+	// A host that is cut off together with upstreams uses them for as long as they serve,
+	// a partition or a drain of up to half a minute.
+	DefaultStaleness = 30 * time.Second
 	// settlingTime is for how long an origin has been a host's sole one before the host
 	// relies on others to know the same. It exceeds 2 s, by which a directory that
 	// counts as up to date may be behind, and maxObservationGap.
@@ -87,7 +87,7 @@
 func (p *Pinner) setWindow(window time.Duration, now time.Time) {
 	complete := now.Add(-p.retention())
 	p.windows = slices.DeleteFunc(p.windows, func(w windowUse) bool {
-		return w.length <= window || now.Sub(w.at) > w.length+maxStaleness
+		return w.length <= window || now.Sub(w.at) > w.length+p.staleness
 	})
 	p.windows = append(p.windows, windowUse{window, now})
 	if window > p.window {
@@ -99,7 +99,7 @@
 }
 
 // retention returns for how long an origin that is not possible any more counts.
-func (p *Pinner) retention() time.Duration { return p.window + maxStaleness }
+func (p *Pinner) retention() time.Duration { return p.window + p.staleness }
 
 // observe records the origins that are possible now. Those of the last observation have
 // been so until now, unless there was a gap. What a directory that is not up to date shows
