pinner: records are sent until an observation has found a sole origin

Between two observations time alone makes an origin the sole one; the time since when was zero then and counted as long ago. A host that died then took these records with it.

Evidence: a new case of TestUnsharedRecords fails without the change.

--- a/scheduler/pinner/records_test.go
+++ b/scheduler/pinner/records_test.go
@@ -107,6 +107,14 @@
 			do:   func(w *watcher) { w.observe(settled-2*interval, first); record(w) },
 			want: []pinner.Copy{{Key: key, Origin: first, Left: window}},
 		},
+		"an origin that is sole since the last observation": {
+			do: func(w *watcher) {
+				w.observe(retention, first)
+				w.now = w.now.Add(interval)
+				record(w)
+			},
+			want: []pinner.Copy{{Key: key, Origin: first, Left: window}},
+		},
 		"a second origin appears after the record": {
 			do: func(w *watcher) {
 				w.observe(settled+2*interval, first)
--- a/scheduler/pinner/watch.go
+++ b/scheduler/pinner/watch.go
@@ -150,5 +150,10 @@
 // settled reports whether a route has had a sole origin for so long that other hosts know
 // the same.
 func (p *Pinner) settled(route string, now time.Time) bool {
-	return p.watched(route, now).Knowledge == Sole && now.Sub(p.watches[route].soleAt) > settlingTime
+	if p.watched(route, now).Knowledge != Sole {
+		return false
+	}
+	// An observation finds a sole origin later than time alone makes it one.
+	soleAt := p.watches[route].soleAt
+	return !soleAt.IsZero() && now.Sub(soleAt) > settlingTime
 }
