--- a/foxtaild/forwarder/stall_test.go
+++ b/foxtaild/forwarder/stall_test.go
@@ -59,7 +59,13 @@
 // passes it to handle, which may write a response. It returns the address.
 func startUpstream(t *testing.T, handle func(c net.Conn, id string)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return startUpstreamAt(t, "127.0.0.1:0", handle)
+}
+
+// startUpstreamAt starts an upstream at an address.
+func startUpstreamAt(t *testing.T, address string, handle func(c net.Conn, id string)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		t.Fatal(err)
 	}
