forwarder: an upstream that refused a connection has no known version at first

Cause: the entry was trusted although the upstream had just refused a connection, the sign that another process may answer next.

Not covered: hosts that made no connection while the upstream was gone.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -157,7 +157,7 @@
 	}
 	conn, err := a.connector.Get(ctx, a.grant.Upstream, entry.Address)
 	if err != nil {
-		return a.endUnreached(ctx, entry.Version, err), false
+		return a.endUnreached(ctx, entry, err), false
 	}
 	a.conn = conn
 	a.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -174,6 +174,9 @@
 	if !ok || ctx.Err() != nil {
 		return a.endUnused("upstreamLeft"), false
 	}
+	if a.returns.mayHaveReturned(entry, now) {
+		entry.Version = ""
+	}
 	if !a.mayGoOnAt(entry) {
 		return a.endOtherVersion(entry), false
 	}
--- a/foxtaild/forwarder/ending.go
+++ b/foxtaild/forwarder/ending.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"syscall"
 	"time"
 
 	"foxtaillug.org/scheduler/coordinator"
@@ -33,14 +34,17 @@
 }
 
 // endUnreached ends an attempt whose upstream could not be connected to.
-func (a *attempt) endUnreached(ctx context.Context, version string, err error) attemptResult {
+func (a *attempt) endUnreached(ctx context.Context, e registrar.Entry, err error) attemptResult {
 	a.refuse(Refusal{Outcome: NotRun, Reason: "unreached", RetryAfter: defaultRetryAfter})
 	if ctx.Err() != nil {
 		a.setContextRefusal(ctx)
 		return attemptResult{ending: coordinator.Unused, final: true}
 	}
 	a.log.Info("upstream unreached", "id", a.r.ID, "upstream", a.grant.Upstream, "error", err.Error())
-	a.markTried(a.grant.Upstream, version)
+	a.markTried(a.grant.Upstream, e.Version)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.returns.recordRefused(e, time.Now())
+	}
 	return attemptResult{ending: coordinator.ConnectFailed}
 }
 
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -68,6 +68,7 @@
 	connector *connector.Connector
 	directory Directory
 	origins   Origins
+	returns   returns
 	// quarantine refuses requests that crash upstreams.
 	quarantine Quarantine
 	log        *slog.Logger
@@ -135,7 +136,7 @@
 func New(a Admitter, c Codec, conns *connector.Connector, d Directory, log *slog.Logger, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		admitter: a, codec: c, connector: conns, directory: d, log: log,
-		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes, quarantine: noQuarantine{}, origins: noOrigins{},
+		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes, quarantine: noQuarantine{}, origins: noOrigins{}, returns: returns{gone: make(map[string]gone)},
 		observe: func(contract.Explanation, time.Duration) {},
 	}
 	for _, opt := range opts {
