forwarder: a stream is not continued if its upstream proves to have been replaced

Cause: entry and process were compared at the first event only. Now they are compared again whenever a stream is to go on. If the new process started before the request was sent (clocks may differ by 0.5 s), the stream's version is unknown: it is not continued, and its record is replaced by one that says so. A process that started since has only ended the stream's own.

Evidence: one of three cases of TestStreamOfReplacedProcessIsNotContinued fails without the change, all pass with it.

--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/scheduler/coordinator"
 	"foxtaillug.org/scheduler/pinner"
+	"foxtaillug.org/scheduler/registrar"
 )
 
 const (
@@ -171,6 +172,10 @@
 	// until an event is relayed or if the caller does not take a stream up.
 	pool   string
 	origin *pinner.Origin
+	// relayedFrom is the upstream whose events were relayed last, and relayedSince when
+	// the request was sent to it.
+	relayedFrom  registrar.Entry
+	relayedSince time.Time
 	// relayedVersions lists the versions of the upstreams whose events were relayed.
 	relayedVersions []string
 	// possibleRuns is the number of upstreams that may have run the request.
@@ -283,6 +288,9 @@
 			res = res.successor.complete(ctx)
 		}
 		h.endings = append(h.endings, res.ending.String())
+		if !res.delivered {
+			h.checkReplaced()
+		}
 		switch {
 		case res.delivered:
 			return Result{Status: res.status, Complete: true}
--- a/foxtaild/forwarder/origin.go
+++ b/foxtaild/forwarder/origin.go
@@ -20,6 +20,9 @@
 	// here. Copies of its record may still arrive; callers that wait longer learn later
 	// that they have to begin anew.
 	unknownStreamRetryAfter = 150 * time.Millisecond
+	// clockTolerance is by how much the clocks of hosts and upstreams may differ. An
+	// upstream that returns takes longer than that.
+	clockTolerance = 500 * time.Millisecond
 )
 
 // errOtherVersion is the error of a stream from an upstream that has started again since
@@ -109,6 +112,28 @@
 	return nil
 }
 
+// checkReplaced makes the stream's origin unknown if the upstream whose events were relayed
+// last turns out to have been replaced by a process of another version before the request
+// was sent to it. The entry of that process may arrive only now.
+func (h *handler) checkReplaced() {
+	if h.origin == nil || !h.mayGoOn() || h.relayedFrom.ID == "" {
+		return
+	}
+	e, _ := h.directory.Usable(h.relayedFrom.ID, time.Now())
+	if e.ID == "" || e.Born == h.relayedFrom.Born || e.Version == h.relayedFrom.Version {
+		return
+	}
+	if time.UnixMilli(e.Born).After(h.relayedSince.Add(clockTolerance)) {
+		return
+	}
+	h.relayedFrom = e
+	h.origin = &pinner.Origin{Pool: h.pool}
+	h.log.Info("upstream of another version", "id", h.r.ID, "upstream", e.ID, "upstreamVersion", e.Version, "upstreamPool", e.Pool, "streamVersion", "", "pool", h.pool)
+	if h.r.resumable() && h.r.stream() != 0 {
+		h.origins.Record(StreamID{h.r.stream(), h.r.Route.Name}, *h.origin, h.r.Deadline.Add(ResumptionDelay))
+	}
+}
+
 // recordOrigin fixes the origin of a stream whose first event is about to be relayed, and
 // records it for hosts that are asked to take the stream up.
 func (a *attempt) recordOrigin() {
--- a/foxtaild/forwarder/origin_test.go
+++ b/foxtaild/forwarder/origin_test.go
@@ -25,6 +25,9 @@
 	// delay is the time that Find takes.
 	delay time.Duration
 
+	// onRecord is called after each record, if it is set.
+	onRecord func()
+
 	mu       sync.Mutex
 	asked    []forwarder.StreamID
 	recorded []recordedOrigin
@@ -41,6 +44,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recorded = append(o.recorded, recordedOrigin{s, origin, until})
+	if o.onRecord != nil {
+		o.onRecord()
+	}
 }
 
 func (o *fakeOrigins) Find(ctx context.Context, s forwarder.StreamID) (pinner.Origin, bool) {
--- a/foxtaild/forwarder/returned_test.go
+++ b/foxtaild/forwarder/returned_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"foxtaillug.org/foxtaild/forwarder"
 	"foxtaillug.org/scheduler/registrar"
@@ -58,3 +60,52 @@
 		})
 	}
 }
+
+// TestStreamOfReplacedProcessIsNotContinued lets the entry of an upstream change after the
+// first event, to that of a process which started before or after the request was sent.
+func TestStreamOfReplacedProcessIsNotContinued(t *testing.T) {
+	tests := map[string]struct {
+		started time.Duration
+		version string
+		want    string
+	}{
+		"another version, started before": {-time.Minute, "v2", "aborted"},
+		"same version, started before":    {-time.Minute, "v1", "200 " + relayedEvents(0, 5)},
+		"another version, started since":  {time.Minute, "v2", "200 " + relayedEvents(0, 5)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			second := newServer(t, stream(3, 5))
+			s := newOriginFixture(t, newServer(t), second)
+			begun := make(chan struct{})
+			s.origins.onRecord = sync.OnceFunc(func() { close(begun) })
+			address := startUpstream(t, func(c net.Conn, id string) {
+				_, _ = io.WriteString(c, strings.ReplaceAll(streamHead+events(0, 2), "%ID", id))
+				<-begun
+				s.replaceEntry("upstream-0", func(e *registrar.Entry) {
+					e.Version, e.Born = tt.version, time.Now().Add(tt.started).UnixMilli()
+				})
+				_ = c.Close()
+			})
+			s.replaceEntry("upstream-0", func(e *registrar.Entry) { e.Address = address })
+			req, r := newRequest(resumable, forwarder.NoEvent), &recorder{}
+			s.Serve(context.Background(), req, r)
+			if r.outcome() != tt.want {
+				t.Errorf("the caller received %q, want %q", r.outcome(), tt.want)
+			}
+			last := s.origins.recorded[len(s.origins.recorded)-1]
+			if known := last.Version != ""; known != (tt.want != "aborted") {
+				t.Errorf("the last record is %+v", last)
+			}
+		})
+	}
+}
+
+// replaceEntry changes an upstream's entry.
+func (s *fixture) replaceEntry(id string, change func(e *registrar.Entry)) {
+	s.directory.Update(registrar.Position{Revision: 2}, func(r *registrar.Registrar) {
+		e, _ := r.Entry(id)
+		change(&e)
+		r.Put(e)
+	})
+}
--- a/foxtaild/forwarder/stream.go
+++ b/foxtaild/forwarder/stream.go
@@ -140,6 +140,7 @@
 			return err
 		}
 		a.relayed = true
+		a.relayedFrom, a.relayedSince = a.upstream, a.start
 		a.relayedVersions = append(a.relayedVersions, a.version)
 	}
 	if !a.headSent {
--- a/foxtaild/forwarder/takeover.go
+++ b/foxtaild/forwarder/takeover.go
@@ -80,6 +80,7 @@
 
 // mayTakeOver reports whether another upstream may take the request over.
 func (w *watcher) mayTakeOver() bool {
+	w.checkReplaced()
 	r := w.r
 	return r.Route.Retryable() && w.dispatched < r.Route.Attempts && w.mayGoOn() &&
 		(w.phase == awaitingHead || w.phase == awaitingEvent)
