--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -78,7 +78,8 @@
 func (p *Pinner) Record(k Key, route string, o Origin, until, now time.Time) {
 	old, known := p.live(k, now)
 	if known && old.origin != o {
-		// The caller has used the ID of a request again.
+		// The caller has used the ID of a request again, or the version has proved to be
+		// unknown.
 		o = Origin{}
 	}
 	if p.put(k, record{origin: o, until: later(old.until, until), route: route}, now) {
