acceptor: a request that has arrived unread keeps its connection

A host that had been told to stop stood still for 0.5 s while a request arrived on a kept connection, and ended its idle connections before it read the request.

Cause: whether a connection is idle was decided by what the host had read and not by what had arrived. A connection that has expired is now probed before it is closed.

--- a/foxtaild/acceptor/acceptor.go
+++ b/foxtaild/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"foxtaillug.org/foxtaild/internal/prober"
 	"foxtaillug.org/foxtaild/reporter"
 )
 
@@ -74,11 +75,12 @@
 }
 
 // Read reads from the connection and records when the first byte of a header
-// arrives. It returns no byte once the connection has expired. If a part of a
-// header arrived together with the previous request's last bytes, the connection
-// counts as idle until more of the header arrives.
+// arrives. It returns no byte once the connection has expired, unless a request has
+// arrived that was not read in time. If a part of a header arrived together with the
+// previous request's last bytes, the connection counts as idle until more of the
+// header arrives.
 func (c *conn) Read(b []byte) (int, error) {
-	if !c.hasExpired() {
+	for !c.hasExpired() || c.keepUnread() {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
 			c.recordRead(len(b))
@@ -91,6 +93,19 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
+// keepUnread keeps a connection that has expired while it was idle if bytes of the next
+// request have arrived, and reports whether it did. This host may have been too busy
+// to read them, and its caller would be reset without a response.
+func (c *conn) keepUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || !c.headerSince.IsZero() || prober.Probe(c.Conn) != prober.Readable {
+		return false
+	}
+	c.keep()
+	return true
+}
+
 // end closes the connection. If a part of a header has been read, it responds with
 // a rejection first.
 func (c *conn) end() {
--- a/foxtaild/acceptor/drain_test.go
+++ b/foxtaild/acceptor/drain_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
 	"foxtaillug.org/foxtaild/acceptor"
+	"foxtaillug.org/foxtaild/internal/prober"
 )
 
 // TestDrainServesRequestsThatHaveBegun stops a server at different moments of a
@@ -135,3 +138,29 @@
 	}
 	wait(t, drained)
 }
+
+// TestDrainServesRequestThatArrivedUnread drains when a request has arrived that the
+// server has not begun to read.
+func TestDrainServesRequestThatArrivedUnread(t *testing.T) {
+	var once sync.Once
+	s := newServer(t, acceptor.Limits{IdleTimeout: time.Hour, HeaderTimeout: time.Hour}, func(s *server, state http.ConnState) {
+		if state != http.StateIdle {
+			return
+		}
+		once.Do(func() {
+			_, _ = io.WriteString(s.caller, secondRequest)
+			for prober.Probe(s.gate.raw) != prober.Readable {
+				runtime.Gosched()
+			}
+			s.acceptor.Drain()
+		})
+	})
+	s.gate.release <- struct{}{}
+	s.send(t, firstRequest)
+	s.gate.release <- struct{}{}
+	for range 2 {
+		if status := s.receive(t); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+}
