pinner, linker, forwarder: streams without a name are known by their content

Cause: a take-up that named no stream went on at whatever origin was the only one in the directory at that moment (Origins.Find with key 0), also at a host that had just started.

Ruled out: learning from the store's history which versions were in service (its changes carry no time and removals no version); requiring all asked hosts to answer (a host that has just died is among them).

Besides, origins are recorded by a hash of what the caller sends again. An inquiry by content waits for all answers and is decided by a record only if no other differs and a host that has run since before the stream began has answered. Keys by content are even and those of streams odd, so that builds before are never asked for what they can't know. Pinner.Current is gone; TestCurrentOrigin, which demanded the fault, is replaced by TestWitness and TestInquiryByContent, and the cases of the front end's tests in which an unnamed stream was refused now look it up by its content, with as many cases that must be refused.

--- a/foxtaild/forwarder/origin.go
+++ b/foxtaild/forwarder/origin.go
@@ -47,6 +47,16 @@
 	return r.Stream
 }
 
+// soughtKey returns the key by which the stream that the request takes up is looked up: that
+// of the stream if the caller names it, or else that of all streams with the same content.
+// It is 0 if there is none.
+func (r *Request) soughtKey() pinner.Key {
+	if k := r.stream(); k != 0 {
+		return k
+	}
+	return pinner.ContentKey(r.Digest)
+}
+
 // mayUse reports whether the route in force sends requests to a pool.
 func (r *Request) mayUse(pool string) bool {
 	return pool == r.Pool || slices.ContainsFunc(r.Route.Targets, func(t router.Target) bool { return t.Pool == pool })
@@ -68,7 +78,7 @@
 			cause = "unnamed"
 		}
 		start := time.Now()
-		o, known = h.origins.Find(ctx, StreamID{r.stream(), r.Route.Name})
+		o, known = h.origins.Find(ctx, StreamID{r.soughtKey(), r.Route.Name})
 		h.waited += time.Since(start)
 	}
 	switch {
@@ -129,8 +139,20 @@
 	h.relayedFrom = e
 	h.origin = &pinner.Origin{Pool: h.pool}
 	h.log.Info("upstream of another version", "id", h.r.ID, "upstream", e.ID, "upstreamVersion", e.Version, "upstreamPool", e.Pool, "streamVersion", "", "pool", h.pool)
-	if h.r.resumable() && h.r.stream() != 0 {
-		h.origins.Record(StreamID{h.r.stream(), h.r.Route.Name}, *h.origin, h.r.Deadline.Add(ResumptionDelay))
+	h.record()
+}
+
+// record records the stream's origin for hosts that are asked to take it up, by its own key
+// and by that of its content: its caller may name it or not.
+func (h *handler) record() {
+	h.recordAs(h.r.stream())
+	h.recordAs(pinner.ContentKey(h.r.Digest))
+}
+
+// recordAs records the stream's origin by a key, unless there is none.
+func (h *handler) recordAs(k pinner.Key) {
+	if r := h.r; k != 0 && r.resumable() {
+		h.origins.Record(StreamID{k, r.Route.Name}, *h.origin, r.Deadline.Add(ResumptionDelay))
 	}
 }
 
@@ -140,7 +162,10 @@
 	if a.origin == nil {
 		a.origin = &pinner.Origin{Pool: a.pool, Version: a.version}
 	}
-	if a.mayGoOn() && a.r.resumable() && a.r.stream() != 0 {
-		a.origins.Record(StreamID{a.r.stream(), a.r.Route.Name}, *a.origin, a.r.Deadline.Add(ResumptionDelay))
+	if a.mayGoOn() {
+		a.recordAs(a.r.stream())
 	}
+	// An origin that is not known counts for streams with the same content: the caller of
+	// this one must not get events of theirs.
+	a.recordAs(pinner.ContentKey(a.r.Digest))
 }
--- a/foxtaild/forwarder/resumption_test.go
+++ b/foxtaild/forwarder/resumption_test.go
@@ -26,7 +26,8 @@
 // TestResumptionGoesOnAtItsOrigin has callers take up a stream after event 2.
 func TestResumptionGoesOnAtItsOrigin(t *testing.T) {
 	goesOn := "200 " + relayedEvents(3, 5)
-	unnamed := func(r *forwarder.Request) { r.Resumes, r.ResumedStream = "", 0 }
+	unnamed := func(r *forwarder.Request) { r.Resumes, r.ResumedStream, r.Digest = "", 0, 33 }
+	unknown := func(r *forwarder.Request) { r.Resumes, r.ResumedStream = "", 0 }
 	split := []router.Target{{Pool: "p", Weight: 99}, {Pool: "q", Weight: 1}}
 	tests := map[string]struct {
 		origin *pinner.Origin
@@ -44,7 +45,8 @@
 		"unknown stream":                  {nil, "p", "v1", nil, "notRun unknownStream", 0, 0, true},
 		"origin without a version":        {&pinner.Origin{Pool: "p"}, "p", "", nil, "notRun unknownStream", 0, 0, true},
 		"no stream is named":              {nil, "p", "v1", unnamed, "notRun unknownStream", 0, 0, true},
-		"none is named, one is possible":  {&pinner.Origin{Pool: "p", Version: "v1"}, "p", "v1", unnamed, goesOn, 1, 1, true},
+		"none is named, content is known": {&pinner.Origin{Pool: "p", Version: "v1"}, "p", "v1", unnamed, goesOn, 1, 1, true},
+		"neither name nor content":        {nil, "p", "v1", unknown, "notRun unknownStream", 0, 0, true},
 		"route is not resumable":          {&pinner.Origin{Pool: "p", Version: "v1"}, "p", "v1", func(r *forwarder.Request) { r.Route.Resumable = false }, "notRun unknownStream", 0, 0, false},
 		"grants of another version":       {&pinner.Origin{Pool: "p", Version: "v1"}, "p", "v2", nil, "notRun noUpstream", 5, 0, true},
 		"grants of an unknown version":    {&pinner.Origin{Pool: "p", Version: "v1"}, "p", "", nil, "notRun noUpstream", 5, 0, true},
@@ -69,6 +71,9 @@
 				tt.change(req)
 			}
 			id := forwarder.StreamID{Key: req.ResumedStream, Route: resumable.Name}
+			if id.Key == 0 {
+				id.Key = pinner.ContentKey(req.Digest)
+			}
 			if tt.origin != nil {
 				s.origins.known = map[forwarder.StreamID]pinner.Origin{id: *tt.origin}
 			}
@@ -155,15 +160,20 @@
 		version string
 		step    step
 		key     pinner.Key
-		want    int
+		content uint64
+		want    []pinner.Key
 	}{
-		"resumable":       {resumable, "v1", stream(0, 3), ownStream, 1},
-		"broken off":      {resumable, "v1", cut(0, 3), ownStream, 1},
-		"not resumable":   {streaming, "v1", stream(0, 3), ownStream, 0},
-		"unknown version": {resumable, "", stream(0, 3), ownStream, 0},
-		"no key":          {resumable, "v1", stream(0, 3), 0, 0},
-		"no event":        {resumable, "v1", stream(0, -1), ownStream, 0},
-		"failed":          {resumable, "v1", step{bytes: response(400, sealed, "no such model")}, ownStream, 0},
+		"resumable":               {resumable, "v1", stream(0, 3), ownStream, 0, []pinner.Key{ownStream}},
+		"broken off":              {resumable, "v1", cut(0, 3), ownStream, 0, []pinner.Key{ownStream}},
+		"not resumable":           {streaming, "v1", stream(0, 3), ownStream, 0, nil},
+		"unknown version":         {resumable, "", stream(0, 3), ownStream, 0, nil},
+		"no key":                  {resumable, "v1", stream(0, 3), 0, 0, nil},
+		"no event":                {resumable, "v1", stream(0, -1), ownStream, 0, nil},
+		"failed":                  {resumable, "v1", step{bytes: response(400, sealed, "no such model")}, ownStream, 0, nil},
+		"content":                 {resumable, "v1", stream(0, 3), ownStream, 33, []pinner.Key{ownStream, pinner.ContentKey(33)}},
+		"content without a key":   {resumable, "v1", stream(0, 3), 0, 33, []pinner.Key{pinner.ContentKey(33)}},
+		"content, not resumable":  {streaming, "v1", stream(0, 3), ownStream, 33, nil},
+		"content, unknown origin": {resumable, "", stream(0, 3), ownStream, 33, []pinner.Key{pinner.ContentKey(33)}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -171,14 +181,16 @@
 			s := newOriginFixture(t, newServer(t, tt.step))
 			s.setVersions(map[string]string{"upstream-0": tt.version})
 			r, req := &orderedResponder{origins: &s.origins}, newRequest(tt.route, forwarder.NoEvent)
-			req.Stream = tt.key
+			req.Stream, req.Digest = tt.key, tt.content
 			s.Serve(context.Background(), req, r)
-			if len(s.origins.recorded) != tt.want || r.before != tt.want {
-				t.Fatalf("%d origins recorded, %d of them before the head, want %d", len(s.origins.recorded), r.before, tt.want)
+			if len(s.origins.recorded) != len(tt.want) || r.before != len(tt.want) {
+				t.Fatalf("%d origins recorded, %d of them before the head, want %d", len(s.origins.recorded), r.before, len(tt.want))
 			}
-			want := recordedOrigin{forwarder.StreamID{Key: tt.key, Route: tt.route.Name}, pinner.Origin{Pool: "p", Version: tt.version}, req.Deadline.Add(forwarder.ResumptionDelay)}
-			if tt.want > 0 && s.origins.recorded[0] != want {
-				t.Errorf("recorded %+v, want %+v", s.origins.recorded[0], want)
+			for i, k := range tt.want {
+				want := recordedOrigin{forwarder.StreamID{Key: k, Route: tt.route.Name}, pinner.Origin{Pool: "p", Version: tt.version}, req.Deadline.Add(forwarder.ResumptionDelay)}
+				if s.origins.recorded[i] != want {
+					t.Errorf("recorded %+v, want %+v", s.origins.recorded[i], want)
+				}
 			}
 			s.admitter.checkReturned(t)
 		})
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -248,8 +248,9 @@
 	// time, and sent to other hosts in the background.
 	Record(s StreamID, o pinner.Origin, until time.Time)
 	// Find returns the origin of a stream that a caller takes up again. It returns false
-	// if no host that it reaches in time knows it. A stream with a zero key is one that
-	// the caller does not name; it is found if only one origin is possible now.
+	// if no host that it reaches in time knows it, or if the key is 0. With a content key,
+	// of a stream that the caller does not name, streams with the same content must not
+	// have several origins.
 	Find(ctx context.Context, s StreamID) (o pinner.Origin, ok bool)
 }
 
--- a/foxtaild/linker/origins.go
+++ b/foxtaild/linker/origins.go
@@ -152,10 +152,14 @@
 	}
 	if q := m.Question; q != nil {
 		o.mu.Lock()
-		a := o.answer(pinner.Key(q.Key), q.Route, now)
+		a, witness := o.answer(pinner.Key(q.Key), q.Route, now)
 		o.mu.Unlock()
+		k := a.Knowledge
+		if witness && pinner.Key(q.Key).IsContent() {
+			k |= witnessBit
+		}
 		o.send(originsMessage{Answer: &originAnswer{
-			Number: q.Number, Knowledge: a.Knowledge, Pool: a.Origin.Pool, Version: a.Origin.Version,
+			Number: q.Number, Knowledge: k, Pool: a.Origin.Pool, Version: a.Origin.Version,
 		}}, from)
 	}
 	if a := m.Answer; a != nil {
@@ -163,7 +167,7 @@
 		defer o.mu.Unlock()
 		if i := o.inquiries[a.Number]; i != nil {
 			delete(o.inquiries, a.Number)
-			i.answers <- numberedAnswer{a.Number, a.answer()}
+			i.answers <- numberedAnswer{a.Number, a.answer(), a.Knowledge&witnessBit != 0}
 		}
 	}
 }
--- a/foxtaild/linker/origins_find.go
+++ b/foxtaild/linker/origins_find.go
@@ -33,19 +33,19 @@
 	asked, answered int
 }
 
-// numberedAnswer is the answer to the question with a number.
+// numberedAnswer is the answer to the question with a number. witness reports whether the
+// host that answers has run since before the stream began.
 type numberedAnswer struct {
 	number uint64
 	pinner.Answer
+	witness bool
 }
 
 // Find returns the origin of a stream that a caller takes up again. It returns false if
 // neither this host nor those that answer in time know it.
 func (o *Origins) Find(ctx context.Context, s forwarder.StreamID) (origin pinner.Origin, ok bool) {
 	if s.Key == 0 {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		return o.pinner.Current(s.Route)
+		return origin, false
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -84,20 +84,27 @@
 	}
 }
 
-// inquire begins an inquiry. If this host has a record, nobody is asked.
+// inquire begins an inquiry. If this host has a record of the stream itself, nobody is asked.
 func (o *Origins) inquire(s forwarder.StreamID) *inquiry {
 	v := o.linker.view.Load()
 	var hosts []pinner.Host
 	o.mu.Lock()
-	own := o.answer(s.Key, s.Route, time.Now())
+	own, witness := o.answer(s.Key, s.Route, time.Now())
 	o.mu.Unlock()
-	if own.Knowledge != pinner.Recorded {
+	if own.Knowledge != pinner.Recorded || s.Key.IsContent() {
 		hosts = pinner.Sources(s.Key, pinnerHosts(v.members, isSource))
 	}
+	var opts []pinner.InquiryOption
+	if s.Key.IsContent() {
+		opts = append(opts, pinner.ByContent())
+	}
 	i := &inquiry{
-		Inquiry: pinner.NewInquiry(own, len(hosts), v.alone), stream: s, knowledge: own.Knowledge, asked: len(hosts),
+		Inquiry: pinner.NewInquiry(own, len(hosts), v.alone, opts...), stream: s, knowledge: own.Knowledge, asked: len(hosts),
 		questions: make(map[uint64]string, len(hosts)), answers: make(chan numberedAnswer, len(hosts)),
 	}
+	if witness {
+		i.Witness()
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, h := range hosts {
@@ -136,6 +143,9 @@
 	delete(i.questions, a.number)
 	i.answered++
 	i.Add(a.Answer)
+	if a.witness {
+		i.Witness()
+	}
 	switch {
 	case i.knowledge == pinner.Recorded:
 	case a.Knowledge == pinner.Recorded, a.Knowledge > i.knowledge:
--- a/foxtaild/linker/origins_messages.go
+++ b/foxtaild/linker/origins_messages.go
@@ -56,6 +56,10 @@
 	Route       string
 }
 
+// witnessBit is set in the Knowledge of a host that has run since before the stream began. It
+// is sent only in answers on content keys, which builds that don't know it never ask for.
+const witnessBit = 1 << 4
+
 // originAnswer answers a question.
 type originAnswer struct {
 	_             struct{} `cbor:",toarray"`
@@ -67,11 +71,11 @@
 // answer returns what the message says. Knowledge of a kind that this build does not have
 // is none, but its origin may contradict the answers of others.
 func (a *originAnswer) answer() pinner.Answer {
-	o := pinner.Origin{Pool: a.Pool, Version: a.Version}
+	o, k := pinner.Origin{Pool: a.Pool, Version: a.Version}, a.Knowledge&^witnessBit
 	switch {
-	case a.Knowledge == pinner.Recorded, a.Knowledge == pinner.Sole && o.Version != "":
-		return pinner.Answer{Knowledge: a.Knowledge, Origin: o}
-	case a.Knowledge == pinner.Mixed:
+	case k == pinner.Recorded, k == pinner.Sole && o.Version != "":
+		return pinner.Answer{Knowledge: k, Origin: o}
+	case k == pinner.Mixed:
 		return pinner.Answer{Knowledge: pinner.Mixed}
 	}
 	return pinner.Answer{Origin: o}
--- a/foxtaild/linker/origins_test.go
+++ b/foxtaild/linker/origins_test.go
@@ -25,7 +25,9 @@
 const streamTimeout = 50 * time.Millisecond
 
 // stream returns the ID of a stream.
-func stream(k pinner.Key) forwarder.StreamID { return forwarder.StreamID{Key: k, Route: streams} }
+func stream(k pinner.Key) forwarder.StreamID {
+	return forwarder.StreamID{Key: pinner.StreamKey(uint64(k) << 1), Route: streams}
+}
 
 // origin returns the origin of the streams of a version.
 func origin(version string) pinner.Origin { return pinner.Origin{Pool: "engines", Version: version} }
@@ -318,7 +320,7 @@
 // ask asks a host for a stream as another host does and returns the answer.
 func ask(t *testing.T, h *host, k pinner.Key) string {
 	t.Helper()
-	c := send(t, h, mustEncode(t, []any{nil, []any{uint64(7), uint64(k), streams}, nil}))
+	c := send(t, h, mustEncode(t, []any{nil, []any{uint64(7), uint64(stream(k).Key), streams}, nil}))
 	buf := make([]byte, 1<<10)
 	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
 	n, err := c.Read(buf)
--- a/foxtaild/linker/origins_watch.go
+++ b/foxtaild/linker/origins_watch.go
@@ -51,11 +51,12 @@
 	o.pinner.Observe(w.possible, d.Loaded() && !d.StoreStale(now, maxDirectoryAge), w.timeout+returnTime, now)
 }
 
-// answer returns what this host knows of the origin of a stream. A version that has come
-// since the last tick counts. The caller holds the lock.
-func (o *Origins) answer(k pinner.Key, route string, now time.Time) pinner.Answer {
+// answer returns what this host knows of the origin of a stream, and whether it has run since
+// before the stream began. A version that has come since the last tick counts. The caller
+// holds the lock.
+func (o *Origins) answer(k pinner.Key, route string, now time.Time) (a pinner.Answer, witness bool) {
 	o.observe(now)
-	return o.pinner.Answer(k, route, now)
+	return o.pinner.Answer(k, route, now), o.pinner.Witnesses(now)
 }
 
 // possibleOrigins returns the origins that streams of each route which callers may take up
--- a/scheduler/pinner/inquiry.go
+++ b/scheduler/pinner/inquiry.go
@@ -8,6 +8,9 @@
 type Inquiry struct {
 	asked, pending int
 	alone          bool
+	// byContent reports whether the stream is known only by its content, and witnessed
+	// whether a host that has answered was running when it began.
+	byContent, witnessed bool
 	// recorded and sole are the origins of the answers; conflict reports whether two
 	// records differ, and mixed whether several origins have been possible.
 	recorded, sole  *Origin
@@ -18,15 +21,31 @@
 	seen []Origin
 }
 
+// InquiryOption configures an Inquiry.
+type InquiryOption func(*Inquiry)
+
+// ByContent makes an inquiry one for a stream that its caller does not name. Records are
+// those of any stream with the same content: one of them decides only when all hosts have
+// answered, none has another, and a host that has run since before the stream began is among
+// them. Without that host the stream's own record may be lost, and the one that is found may
+// be that of a later stream.
+func ByContent() InquiryOption { return func(q *Inquiry) { q.byContent = true } }
+
 // NewInquiry returns an inquiry with this host's own answer, for a number of other hosts
 // that are asked. alone reports whether the fleet has no other host; hosts that don't
 // respond are others.
-func NewInquiry(own Answer, asked int, alone bool) *Inquiry {
+func NewInquiry(own Answer, asked int, alone bool, opts ...InquiryOption) *Inquiry {
 	q := &Inquiry{asked: asked, pending: asked, alone: alone}
+	for _, opt := range opts {
+		opt(q)
+	}
 	q.merge(own)
 	return q
 }
 
+// Witness records that a host which has answered has run since before the stream began.
+func (q *Inquiry) Witness() { q.witnessed = true }
+
 // Add adds the answer of another host.
 func (q *Inquiry) Add(a Answer) {
 	q.pending--
@@ -57,13 +76,14 @@
 
 // Done reports whether further answers are not needed. A sole origin is not enough, as
 // the record of a stream at a version that few hosts have seen may be still to come.
-func (q *Inquiry) Done() bool { return q.recorded != nil || q.pending <= 0 }
+func (q *Inquiry) Done() bool { return q.recorded != nil && !q.byContent || q.pending <= 0 }
 
 // Origin returns the stream's origin if it is known by the answers so far, which it is by
-// any record. A sole origin counts only if another host confirms it and none contradicts.
+// any record of a stream that is named. A sole origin counts only if another host confirms
+// it and none contradicts.
 func (q *Inquiry) Origin() (o Origin, ok bool) {
 	switch {
-	case q.conflict:
+	case q.conflict, q.byContent && q.recorded != nil && !q.witnessed:
 		return o, false
 	case q.recorded != nil:
 		return *q.recorded, true
--- a/scheduler/pinner/inquiry_test.go
+++ b/scheduler/pinner/inquiry_test.go
@@ -74,3 +74,57 @@
 		})
 	}
 }
+
+// TestInquiryByContent asks for a stream of which only the content is known: that of another
+// stream may be the same.
+func TestInquiryByContent(t *testing.T) {
+	const asked = 2
+	tests := map[string]struct {
+		own     pinner.Answer
+		answers []pinner.Answer
+		witness bool
+		alone   bool
+		want    pinner.Origin
+		// done reports whether further answers would not count.
+		done bool
+	}{
+		"own record, the others have not answered": {own: recorded(first), witness: true, want: first},
+		"own record, all have answered": {
+			own: recorded(first), answers: []pinner.Answer{mixed, mixed}, witness: true, want: first, done: true,
+		},
+		"no host has run since before the stream": {
+			own: recorded(first), answers: []pinner.Answer{mixed, recorded(first)}, done: true,
+		},
+		"another stream has another origin": {
+			own: recorded(first), answers: []pinner.Answer{recorded(second), mixed}, witness: true, done: true,
+		},
+		"another stream has no known origin": {
+			answers: []pinner.Answer{recorded(versionless), recorded(first)}, witness: true, done: true,
+		},
+		"no record, versions are mixed": {own: mixed, answers: []pinner.Answer{mixed, mixed}, witness: true, done: true},
+		"no record, one origin for long": {
+			own: sole(first), answers: []pinner.Answer{sole(first), sole(first)}, witness: true, want: first, done: true,
+		},
+		"no record, hosts have just started": {
+			own: unknown(first), answers: []pinner.Answer{unknown(first), unknown(first)}, done: true,
+		},
+		"the only host": {own: recorded(first), alone: true, witness: true, want: first},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := pinner.NewInquiry(tt.own, asked, tt.alone, pinner.ByContent())
+			if tt.witness {
+				q.Witness()
+			}
+			for _, a := range tt.answers {
+				q.Add(a)
+			}
+			if got, ok := q.Origin(); got != tt.want || ok != (tt.want != pinner.Origin{}) {
+				t.Errorf("got %v, %v; want %v", got, ok, tt.want)
+			}
+			if got := q.Done(); got != tt.done {
+				t.Errorf("got %v, want done %v", got, tt.done)
+			}
+		})
+	}
+}
--- a/scheduler/pinner/pinner.go
+++ b/scheduler/pinner/pinner.go
@@ -11,9 +11,32 @@
 	minPruneInterval = 100 * time.Millisecond
 )
 
-// Key identifies a stream by the request that brought its first event.
+// Key identifies a stream by the request that brought its first event, or streams that are
+// alike by what their callers send again when they take one up without naming it.
 type Key uint64
 
+// contentBit is the bit that tells the two kinds of keys apart: it is set in the keys of
+// single streams, also in those of earlier builds.
+const contentBit = 1
+
+// StreamKey returns the key of the one stream that a hash identifies.
+func StreamKey(hash uint64) Key { return Key(hash | contentBit) }
+
+// ContentKey returns the key of all streams whose requests have content with a hash, or 0,
+// which is no key, for the hash 0.
+func ContentKey(hash uint64) Key {
+	if hash == 0 {
+		return 0
+	}
+	if k := Key(hash &^ contentBit); k != 0 {
+		return k
+	}
+	return contentBit << 1
+}
+
+// IsContent reports whether several streams may have the key.
+func (k Key) IsContent() bool { return k&contentBit == 0 }
+
 // Origin is where a stream began.
 type Origin struct {
 	Pool string
@@ -41,6 +64,9 @@
 	// observedAt is the time of the last observation, zero if the directory was not up
 	// to date then.
 	observedAt time.Time
+	// runsSince is since when there has been an observation at least every
+	// maxObservationGap, and ranAt the time of the last one.
+	runsSince, ranAt time.Time
 	// window is the longest time for which a stream may go on, the first of windows,
 	// which get shorter.
 	window  time.Duration
--- a/scheduler/pinner/pinner_test.go
+++ b/scheduler/pinner/pinner_test.go
@@ -67,33 +67,57 @@
 
 var mixed = pinner.Answer{Knowledge: pinner.Mixed}
 
-// TestCurrentOrigin has origins of a route come and go.
-func TestCurrentOrigin(t *testing.T) {
+// TestWitness reports for how long a host that observes has run.
+func TestWitness(t *testing.T) {
 	tests := map[string]struct {
-		origins []pinner.Origin
-		want    bool
+		do   func(w *watcher)
+		want bool
 	}{
-		"one":               {[]pinner.Origin{first}, true},
-		"none":              {[]pinner.Origin{}, false},
-		"two versions":      {[]pinner.Origin{first, second}, false},
-		"two pools":         {[]pinner.Origin{first, moved}, false},
-		"without a version": {[]pinner.Origin{versionless}, false},
+		"just started":              {do: func(*watcher) {}},
+		"not longer than a stream":  {do: func(w *watcher) { w.observe(window, first) }},
+		"longer than a stream":      {do: func(w *watcher) { w.observe(window+interval, first) }, want: true},
+		"while versions are mixed":  {do: func(w *watcher) { w.observe(window+interval, first, second) }, want: true},
+		"the directory is outdated": {do: func(w *watcher) { w.observeRoutes(window+interval, window, false, nil) }, want: true},
+		"suspended": {do: func(w *watcher) {
+			w.observe(2*window, first)
+			w.now = w.now.Add(2 * time.Second)
+		}},
+		"suspended, and observes again": {do: func(w *watcher) {
+			w.observe(2*window, first)
+			w.now = w.now.Add(2 * time.Second)
+			w.observe(window, first)
+		}},
+		"streams last longer": {do: func(w *watcher) {
+			w.observe(window+interval, first)
+			w.observeRoutes(0, 2*window, true, map[string][]pinner.Origin{route: {first}})
+		}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := watcher{pinner.New(), start}
-			w.observe(interval, second)
-			w.observe(interval, tt.origins...)
-			if o, ok := w.Current(route); ok != tt.want || ok && o != first {
-				t.Errorf("got %+v, %v; want %v", o, ok, tt.want)
-			}
-			if _, ok := w.Current("another route"); ok {
-				t.Error("a route that is not watched has a current origin")
+			tt.do(&w)
+			if got := w.Witnesses(w.now); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
 	}
 }
 
+// TestKeysOfStreamsAndContentDiffer has hashes that are small or differ in one bit.
+func TestKeysOfStreamsAndContentDiffer(t *testing.T) {
+	if k := pinner.ContentKey(0); k != 0 {
+		t.Errorf("the hash 0 has the key %d", k)
+	}
+	for hash := uint64(1); hash < 9; hash++ {
+		if k := pinner.StreamKey(hash); k == 0 || k.IsContent() {
+			t.Errorf("the hash %d of a stream has the key %d", hash, k)
+		}
+		if k := pinner.ContentKey(hash); k == 0 || !k.IsContent() {
+			t.Errorf("the hash %d of content has the key %d", hash, k)
+		}
+	}
+}
+
 func TestWatchOfRoute(t *testing.T) {
 	tests := map[string]struct {
 		do   func(w *watcher)
--- a/scheduler/pinner/watch.go
+++ b/scheduler/pinner/watch.go
@@ -46,6 +46,10 @@
 // route that is missing is watched anew when it comes back.
 func (p *Pinner) Observe(possible map[string][]Origin, upToDate bool, window time.Duration, now time.Time) {
 	continuous := !p.observedAt.IsZero() && now.Sub(p.observedAt) <= maxObservationGap
+	if now.Sub(p.ranAt) > maxObservationGap {
+		p.runsSince = now
+	}
+	p.ranAt = now
 	p.setWindow(window, now)
 	for route := range possible {
 		if p.watches[route] == nil {
@@ -137,14 +141,10 @@
 	return Answer{}
 }
 
-// Current returns the origin that streams of a route which begin now have, if there is only
-// one. It serves callers that take a stream up without naming it.
-func (p *Pinner) Current(route string) (o Origin, ok bool) {
-	w := p.watches[route]
-	if w == nil || len(w.possible) != 1 || w.possible[0].Version == "" {
-		return o, false
-	}
-	return w.possible[0], true
+// Witnesses reports whether this host has run since before any stream began that may still
+// be taken up, and so may have been sent copies of its record.
+func (p *Pinner) Witnesses(now time.Time) bool {
+	return now.Sub(p.ranAt) <= maxObservationGap && now.Sub(p.runsSince) > p.window
 }
 
 // settled reports whether a route has had a sole origin for so long that other hosts know
