observer, coordinator, forwarder: upstreams that say that they leave get no requests

Change: it is one more thing that an upstream says of itself, kept by process until the next one, told to all hosts of a coordinator and to new ones. Coordinators do not grant the upstream and count none of its slots; each host checks right before the first byte and excludes it from further grants.

--- /dev/null
+++ b/foxtaild/forwarder/acceptance_test.go
@@ -0,0 +1,72 @@
+package forwarder_test
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"testing"
+
+	"foxtaillug.org/foxtaild/connector"
+	"foxtaillug.org/foxtaild/forwarder"
+	"foxtaillug.org/scheduler/pinner"
+	"foxtaillug.org/scheduler/registrar"
+)
+
+// TestUpstreamThatAcceptsNothingGetsNothing grants an upstream that has told the host to send
+// it no requests, at each of the times at which a request is sent.
+func TestUpstreamThatAcceptsNothingGetsNothing(t *testing.T) {
+	failed := step{bytes: response(503, notRunHeader+": 1\r\n", "busy")}
+	tests := map[string]struct {
+		// steps are those of the upstreams in the order of the grants; refusing is the
+		// number of the one that accepts nothing.
+		steps    []step
+		refusing int
+		after    int64
+		want     string
+	}{
+		"first attempt":         {[]step{stream(0, 5), stream(0, 5)}, 0, forwarder.NoEvent, "200 " + relayedEvents(0, 5)},
+		"after a rejection":     {[]step{failed, stream(0, 5), stream(0, 5)}, 1, forwarder.NoEvent, "200 " + relayedEvents(0, 5)},
+		"resumption":            {[]step{cut(0, 2), stream(3, 5), stream(3, 5)}, 1, forwarder.NoEvent, "200 " + relayedEvents(0, 5)},
+		"resumption by callers": {[]step{stream(3, 5), stream(3, 5)}, 0, 2, "200 " + relayedEvents(3, 5)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var servers []*server
+			for _, x := range tt.steps {
+				servers = append(servers, newServer(t, x))
+			}
+			s := newOriginFixture(t, servers...)
+			refusing := s.admitter.grants[tt.refusing]
+			s.origins.known = map[forwarder.StreamID]pinner.Origin{{Key: resumedStream, Route: resumable.Name}: {Pool: "p", Version: "v1"}}
+			for _, id := range s.admitter.grants {
+				s.setVersions(map[string]string{id: "v1"})
+			}
+			s.Forwarder = forwarder.New(&s.admitter, testCodec{}, connector.New(), s.directory, slog.New(slog.DiscardHandler), forwarder.WithOrigins(&s.origins),
+				forwarder.WithAcceptance(func(e registrar.Entry) (string, bool) { return "upstreamLeaving", e.ID != refusing }))
+			r := &recorder{}
+			s.Serve(context.Background(), newRequest(resumable, tt.after), r)
+			if got := r.outcome(); got != tt.want {
+				t.Errorf("the caller received %q, want %q", got, tt.want)
+			}
+			if n := len(servers[tt.refusing].requests()); n > 0 {
+				t.Errorf("the upstream that accepts nothing received %d requests", n)
+			}
+			if last := s.admitter.requests[len(s.admitter.requests)-1]; !slices.Contains(last.Exclude, refusing) {
+				t.Errorf("the last admission request excludes %v, want %s among them", last.Exclude, refusing)
+			}
+			s.admitter.checkReturned(t)
+		})
+	}
+}
+
+// TestRefusalSaysThatUpstreamsAcceptNothing grants only upstreams that accept nothing.
+func TestRefusalSaysThatUpstreamsAcceptNothing(t *testing.T) {
+	s := newFixture(t, newServer(t, okResponse("ok")))
+	s.Forwarder = forwarder.New(s.admitter, testCodec{}, connector.New(), s.directory, slog.New(slog.DiscardHandler),
+		forwarder.WithAcceptance(func(registrar.Entry) (string, bool) { return "upstreamLeaving", false }))
+	r := s.serve(idempotent, "id")
+	if r.refusal == nil || r.refusal.Outcome != forwarder.NotRun || r.refusal.RetryAfter <= 0 {
+		t.Errorf("the caller received %+v, want a refusal that says that the request has not run", r.refusal)
+	}
+}
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -153,6 +153,9 @@
 	if !ok {
 		return a.endUnused("upstreamLeft"), false
 	}
+	if reason, ok := a.accepts(entry); !ok {
+		return a.endNotAccepted(reason), false
+	}
 	if !a.mayGoOnAt(entry) {
 		return a.endOtherVersion(entry), false
 	}
@@ -175,6 +178,9 @@
 	if !ok || ctx.Err() != nil {
 		return a.endUnused("upstreamLeft"), false
 	}
+	if reason, ok := a.accepts(entry); !ok {
+		return a.endNotAccepted(reason), false
+	}
 	if a.returns.mayHaveReturned(entry, now) {
 		entry.Version = ""
 	}
@@ -296,7 +302,7 @@
 	if a.grant.ReportObservation == nil || x == (observer.Terms{}) {
 		return
 	}
-	o := observer.Observation{Upstream: a.upstream.ID, Born: a.upstream.Born, Limit: x.Limit, ColdFor: x.ColdFor, Brittle: x.Brittle}
+	o := observer.Observation{Upstream: a.upstream.ID, Born: a.upstream.Born, Limit: x.Limit, ColdFor: x.ColdFor, Brittle: x.Brittle, Leaving: x.Leaving}
 	if x.Limit.State == observer.Unlimited {
 		o.Age = time.Since(a.start)
 	}
--- a/foxtaild/forwarder/ending.go
+++ b/foxtaild/forwarder/ending.go
@@ -17,6 +17,13 @@
 	return attemptResult{ending: coordinator.Unused}
 }
 
+// endNotAccepted ends an attempt in which no byte was sent, as the upstream has told this host
+// to send it no requests. The coordinator that granted it may not know yet.
+func (a *attempt) endNotAccepted(reason string) attemptResult {
+	a.exclude(a.grant.Upstream)
+	return a.endUnused(reason)
+}
+
 // endOtherVersion ends an attempt in which no byte was sent, as the stream can't go on at
 // the upstream.
 func (a *attempt) endOtherVersion(e registrar.Entry) attemptResult {
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -77,9 +77,11 @@
 	relayer Relayer
 	// quarantine refuses requests that crash upstreams.
 	quarantine Quarantine
-	log        *slog.Logger
-	tracer     trace.Tracer
-	observe    func(contract.Explanation, time.Duration)
+	// accepts reports whether an upstream accepts requests of this host, or else why not.
+	accepts func(e registrar.Entry) (reason string, ok bool)
+	log     *slog.Logger
+	tracer  trace.Tracer
+	observe func(contract.Explanation, time.Duration)
 	// terminator is the prefix of the line that marks the last event of a
 	// complete stream; empty if streams have no such event.
 	terminator []byte
@@ -138,12 +140,20 @@
 	return func(f *Forwarder) { f.origins = o }
 }
 
+// WithAcceptance sets a function that reports whether an upstream accepts requests of this
+// host, as far as it has said in its responses, or else why not. The forwarder calls it right
+// before it sends the first byte.
+func WithAcceptance(accepts func(e registrar.Entry) (reason string, ok bool)) Option {
+	return func(f *Forwarder) { f.accepts = accepts }
+}
+
 // New returns a forwarder.
 func New(a Admitter, c Codec, conns *connector.Connector, d Directory, log *slog.Logger, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		admitter: a, codec: c, connector: conns, directory: d, log: log,
 		tracer: noop.Tracer{}, maxResponseBytes: defaultMaxResponseBytes, maxBufferedBytes: defaultMaxBufferedBytes, quarantine: noQuarantine{}, origins: noOrigins{}, returns: returns{gone: make(map[string]gone)}, reach: reach{pools: make(map[string]*reacher.Reacher)},
 		observe: func(contract.Explanation, time.Duration) {},
+		accepts: func(registrar.Entry) (reason string, ok bool) { return "", true },
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/foxtaild/linker/limit_test.go
+++ b/foxtaild/linker/limit_test.go
@@ -48,6 +48,25 @@
 	}
 }
 
+// TestAllHostsOfACoordinatorKnowLeavingUpstreams reports at one host that the engine's process
+// ends.
+func TestAllHostsOfACoordinatorKnowLeavingUpstreams(t *testing.T) {
+	hosts := startFleet(t, 3)
+	for _, h := range hosts {
+		h.mustAdmit(t)()
+	}
+	hosts[1].observe(t, observer.Observation{Upstream: "engine", Leaving: true})
+	for _, h := range hosts {
+		eventually(t, "a host knows that the engine leaves", func() bool {
+			reason, ok := h.Accepts("engine", 0)
+			return !ok && reason == "upstreamLeaving"
+		})
+		if _, ok := h.Accepts("engine", 1); !ok {
+			t.Error("the engine's next process counts as leaving")
+		}
+	}
+}
+
 // TestNewCoordinatorKnowsLimits stops the coordinator after a limit was reported at another
 // host: the next one is told by that host.
 func TestNewCoordinatorKnowsLimits(t *testing.T) {
--- a/foxtaild/linker/limits.go
+++ b/foxtaild/linker/limits.go
@@ -14,6 +14,17 @@
 type limitView struct {
 	at   time.Time
 	list []observer.Observation
+	// byUpstream holds the elements of list by upstream.
+	byUpstream map[string]observer.Observation
+}
+
+// newLimitView returns a view of a list.
+func newLimitView(list []observer.Observation, now time.Time) *limitView {
+	v := &limitView{at: now, list: list, byUpstream: make(map[string]observer.Observation, len(list))}
+	for _, o := range list {
+		v.byUpstream[o.Upstream] = o
+	}
+	return v
 }
 
 // observations returns the limits with their ages at a later time.
@@ -27,18 +38,28 @@
 	return list
 }
 
-// sensitive reports whether an upstream has a limit or is brittle.
+// sensitive reports whether an upstream has a limit, is brittle or leaving.
 func (v *limitView) sensitive(upstream string, born int64) bool {
-	for _, o := range v.list {
-		if o.Upstream == upstream && o.Born >= born && (o.Limit.State == observer.Limited || o.Brittle) {
-			return true
-		}
+	o, known := v.byUpstream[upstream]
+	return known && o.Born >= born && (o.Limit.State == observer.Limited || o.Brittle || o.Leaving)
+}
+
+// accepts reports whether an upstream accepts requests of this host, or else why not.
+func (v *limitView) accepts(upstream string, born int64) (reason string, ok bool) {
+	if o, known := v.byUpstream[upstream]; known && o.Born >= born && o.Leaving {
+		return "upstreamLeaving", false
 	}
-	return false
+	return "", true
+}
+
+// Accepts reports whether an upstream, whose entry names the start of its process, accepts
+// requests of this host as far as it has said, or else why not.
+func (l *Linker) Accepts(upstream string, born int64) (reason string, ok bool) {
+	return l.loop.limits.Load().accepts(upstream, born)
 }
 
 // Sensitive reports whether an upstream, whose entry names the start of its process, has named
-// a limit or is brittle, as far as this host knows.
+// a limit, is brittle or leaving, as far as this host knows.
 func (l *Linker) Sensitive(upstream string, born int64) bool {
 	return l.loop.limits.Load().sensitive(upstream, born)
 }
@@ -74,7 +95,7 @@
 	changes := l.coordinator.ObservedChanges()
 	if v := l.limits.Load(); changes != l.limitsAt || len(v.list) > 0 && now.Sub(v.at) >= limitInterval {
 		l.limitsAt = changes
-		l.limits.Store(&limitView{at: now, list: l.coordinator.Observed(0, now)})
+		l.limits.Store(newLimitView(l.coordinator.Observed(0, now), now))
 	}
 	if l.coordinator.Standalone() {
 		// Once this host coordinates, it sends all limits.
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -242,7 +242,7 @@
 		switch {
 		case slices.Contains(c.fleet.Scope, u.Domain):
 			p.members = append(p.members, u)
-		case !u.unavailable:
+		case u.inService():
 			p.addElsewhere(u)
 		}
 	}
@@ -284,7 +284,10 @@
 		p := c.pools[name]
 		l := Load{Pool: name, Waiting: len(p.waiting)}
 		for _, u := range p.members {
-			if u.unavailable {
+			if u.leaving {
+				l.Leaving++
+			}
+			if !u.inService() {
 				continue
 			}
 			l.Upstreams++
--- a/scheduler/coordinator/limit.go
+++ b/scheduler/coordinator/limit.go
@@ -35,7 +35,10 @@
 func (c *Coordinator) Observe(o observer.Observation, now time.Time) observer.Change {
 	change := c.observed.Record(o, now)
 	if u := c.upstreams[o.Upstream]; u != nil {
-		c.applyObserved(u, now)
+		was := u.leaving
+		if c.applyObserved(u, now); u.leaving != was {
+			c.assignUpstreams(now)
+		}
 	}
 	return change
 }
@@ -57,6 +60,7 @@
 // nothing is known of what the upstream has got before.
 func (c *Coordinator) applyObserved(u *upstream, now time.Time) {
 	u.coldUntil = c.observed.ColdUntil(u.ID, u.Born)
+	u.leaving = c.observed.Leaving(u.ID, u.Born)
 	c.setBrittle(u, c.observed.Brittle(u.ID, u.Born), now)
 	limit, _, ok := c.observed.Limit(u.ID, u.Born)
 	if !ok {
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -50,8 +50,9 @@
 	limit     *limiter.Bucket
 	limited   int
 	limitedAt time.Time
-	// unavailable upstreams receive no new requests.
-	unavailable bool
+	// unavailable upstreams are no longer listed, and leaving ones have said that their
+	// process ends soon. Neither receives new requests.
+	unavailable, leaving bool
 	// ejection keeps all requests from the upstream. ejectedBy lists the entry hosts that
 	// could not connect to it if it rests on that, and doubted those that could not since
 	// the upstream last responded to any.
@@ -115,9 +116,12 @@
 // eligible reports whether the upstream may receive new requests, regardless of
 // free slots.
 func (u *upstream) eligible(now time.Time) bool {
-	return !u.unavailable && !now.Before(u.ejection.until)
+	return u.inService() && !now.Before(u.ejection.until)
 }
 
+// inService reports whether the upstream may receive new requests now or later.
+func (u *upstream) inService() bool { return !u.unavailable && !u.leaving }
+
 // canAccept reports whether the upstream may receive a request now.
 func (u *upstream) canAccept(now time.Time) bool {
 	if !u.eligible(now) || len(u.running) >= u.slots() || !u.withinLimit(now) {
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -175,6 +175,9 @@
 	// Ejected count those of them that are warming up and those that receive no
 	// requests for a while after failures.
 	Upstreams, Cold, Ejected int
+	// Leaving counts the upstreams that have said that their process ends soon; the other
+	// numbers leave them out.
+	Leaving int
 	// Slots is the total number of slots, Running the number of running
 	// requests and Waiting the number of queued ones.
 	Slots, Running, Waiting int
--- a/scheduler/coordinator/version.go
+++ b/scheduler/coordinator/version.go
@@ -114,7 +114,7 @@
 func (c *Coordinator) timeUntilReady(p *pool, w *waiter, now time.Time) (soonest time.Duration, found bool) {
 	soonest = math.MaxInt64
 	for _, u := range p.members {
-		if !u.unavailable && c.suits(u, w.Request) {
+		if u.inService() && c.suits(u, w.Request) {
 			soonest, found = min(soonest, max(u.timeUntilReady(now), c.timeUntilReached(w.entry, u, now))), true
 		}
 	}
--- a/scheduler/observer/table.go
+++ b/scheduler/observer/table.go
@@ -33,6 +33,8 @@
 	ColdFor time.Duration
 	// Brittle reports whether the upstream falls over if it has to reject many requests.
 	Brittle bool
+	// Leaving reports whether the upstream's process ends soon.
+	Leaving bool
 }
 
 // Change is what an observation changes.
@@ -52,11 +54,14 @@
 	// are returned if the limit stays as it was.
 	TurnedBrittle
 	TurnedSound
+	// BeganLeaving means that the upstream's process ends soon. It is returned if nothing
+	// else changes.
+	BeganLeaving
 )
 
 // String returns the name of the change as it is logged.
 func (c Change) String() string {
-	return [...]string{"none", "began", "changed", "ended", "brittle", "sound"}[c]
+	return [...]string{"none", "began", "changed", "ended", "brittle", "sound", "leaving"}[c]
 }
 
 // record is the latest observation of an upstream. born is the latest start of a process that
@@ -70,7 +75,12 @@
 	// brittle is set by a response that says so, at brittleAt, and unset by a later one.
 	brittle   bool
 	brittleAt time.Time
-	// changed is the value of Table.changes at the last change of the limit or warm-up.
+	// leaving is set by a response that says so, of the process that started at leavingBorn.
+	leaving     bool
+	leavingBorn int64
+	// seenAt is the time of the latest observation.
+	seenAt time.Time
+	// changed is the value of Table.changes at the last change of any of this.
 	changed uint64
 }
 
@@ -90,15 +100,18 @@
 	at := now.Add(-o.Age)
 	r := t.records[o.Upstream]
 	if r == nil {
-		if o.Limit.State != Limited && o.ColdFor <= 0 && !o.Brittle {
+		if o.Limit.State != Limited && o.ColdFor <= 0 && !o.Brittle && !o.Leaving {
 			return None
 		}
 		r = &record{limit: Limit{State: Unlimited}}
 		t.records[o.Upstream] = r
 	}
-	r.born = max(r.born, o.Born)
+	r.born, r.seenAt = max(r.born, o.Born), now
 	t.recordWarmUp(r, o, now)
-	c = t.recordBrittle(r, o, at)
+	c = t.recordLeaving(r, o)
+	if b := t.recordBrittle(r, o, at); b != None {
+		c = b
+	}
 	if o.Limit.State == Unknown {
 		return c
 	}
@@ -152,6 +165,23 @@
 	return c
 }
 
+// recordLeaving records that a response says that its upstream's process ends soon, which it
+// does whatever later responses or the upstream's entry say.
+func (t *Table) recordLeaving(r *record, o Observation) (c Change) {
+	if !o.Leaving || r.leaving && r.leavingBorn >= o.Born {
+		return None
+	}
+	t.changes++
+	r.leaving, r.leavingBorn, r.changed = true, o.Born, t.changes
+	return BeganLeaving
+}
+
+// Leaving reports whether the process of an upstream has said that it ends soon.
+func (t *Table) Leaving(upstream string, born int64) bool {
+	r := t.records[upstream]
+	return r != nil && r.leaving && r.leavingBorn >= born
+}
+
 // Brittle reports whether an upstream is brittle, as far as is known.
 func (t *Table) Brittle(upstream string, born int64) bool {
 	r := t.records[upstream]
@@ -179,15 +209,18 @@
 	return r.limit.Rate, r.at, true
 }
 
-// Changes returns the number of changes of limits and warm-ups so far.
+// Changes returns the number of changes of what the table holds so far.
 func (t *Table) Changes() uint64 { return t.changes }
 
-// Since returns the observations that changed a limit or a warm-up after an earlier value of Changes,
+// Since returns the observations that changed something after an earlier value of Changes,
 // sorted by upstream.
 func (t *Table) Since(changes uint64, now time.Time) (list []Observation) {
 	for id, r := range t.records {
 		if r.changed > changes {
-			list = append(list, Observation{Upstream: id, Born: r.born, Limit: r.limit, Age: now.Sub(r.at), ColdFor: max(0, r.coldUntil.Sub(now)), Brittle: r.brittle})
+			list = append(list, Observation{
+				Upstream: id, Born: r.born, Limit: r.limit, Age: now.Sub(r.at), ColdFor: max(0, r.coldUntil.Sub(now)), Brittle: r.brittle,
+				Leaving: r.leaving && r.leavingBorn >= r.born,
+			})
 		}
 	}
 	slices.SortFunc(list, func(a, b Observation) int { return cmp.Compare(a.Upstream, b.Upstream) })
@@ -198,9 +231,8 @@
 // upstreams that are not usable, when nothing was observed of them for long.
 func (t *Table) Prune(usable func(upstream string) bool, now time.Time) {
 	for id, r := range t.records {
-		age := now.Sub(r.at)
-		ended := r.limit.State == Unlimited && !now.Before(r.coldUntil) && !r.brittle
-		if ended && age > endRetention || age > goneRetention && !usable(id) {
+		ended := r.limit.State == Unlimited && !now.Before(r.coldUntil) && !r.brittle && !r.leaving
+		if ended && now.Sub(r.at) > endRetention || now.Sub(r.seenAt) > goneRetention && !usable(id) {
 			delete(t.records, id)
 		}
 	}
--- a/scheduler/observer/table_test.go
+++ b/scheduler/observer/table_test.go
@@ -172,6 +172,57 @@
 	}
 }
 
+// TestLeaving records pairs of observations one second apart. Nothing but a later process ends
+// what a process has said.
+func TestLeaving(t *testing.T) {
+	leaving := func(born int64) observer.Observation {
+		return observer.Observation{Upstream: "u", Born: born, Leaving: true}
+	}
+	other := func(o observer.Observation, born int64) observer.Observation {
+		o.Born = born
+		return o
+	}
+	tests := map[string]struct {
+		first, second observer.Observation
+		want          observer.Change
+		// process 1 and 2 are leaving.
+		one, two bool
+	}{
+		"said":                          {unlimited(0), leaving(1), observer.BeganLeaving, true, false},
+		"said again":                    {leaving(1), leaving(1), observer.None, true, false},
+		"a later response does not":     {leaving(1), unlimited(0), observer.None, true, false},
+		"an earlier request's does not": {leaving(1), unlimited(5 * time.Second), observer.None, true, false},
+		"a limit besides":               {leaving(1), limited(2, 0), observer.Began, true, false},
+		"the next process":              {leaving(1), other(unlimited(0), 2), observer.None, true, false},
+		"the next process too":          {leaving(1), leaving(2), observer.BeganLeaving, true, true},
+		"a former process, late":        {leaving(2), leaving(1), observer.None, true, true},
+		"an outdated entry":             {leaving(1), leaving(0), observer.None, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := observer.NewTable()
+			table.Record(tt.first, start)
+			if got := table.Record(tt.second, start.Add(time.Second)); got != tt.want {
+				t.Errorf("change %v, want %v", got, tt.want)
+			}
+			if one, two := table.Leaving("u", 1), table.Leaving("u", 2); one != tt.one || two != tt.two {
+				t.Errorf("leaving: %v, %v; want %v, %v", one, two, tt.one, tt.two)
+			}
+			copied := observer.NewTable()
+			for _, o := range table.Since(0, start) {
+				copied.Record(o, start)
+			}
+			if latest := table.Leaving("u", 2); tt.two && copied.Leaving("u", 2) != latest {
+				t.Error("another table does not know it")
+			}
+			table.Prune(func(string) bool { return true }, start.Add(24*time.Hour))
+			if got := table.Leaving("u", 1); got != tt.one {
+				t.Errorf("after a day, leaving: %v, want %v", got, tt.one)
+			}
+		})
+	}
+}
+
 // TestOlderRecordDoesNotReviveLimit gives a table, after the end of a limit, what a host has
 // kept that does not know of the end.
 func TestOlderRecordDoesNotReviveLimit(t *testing.T) {
--- a/scheduler/observer/terms.go
+++ b/scheduler/observer/terms.go
@@ -46,4 +46,6 @@
 	ColdFor time.Duration
 	// Brittle reports whether the upstream falls over if it has to reject many requests.
 	Brittle bool
+	// Leaving reports whether the upstream's process ends soon.
+	Leaving bool
 }
