observer, coordinator: upstreams that tell a host to pause are left alone by it

Cause: nothing read the Retry-After of an upstream's 503.

Ruled out: keeping all hosts off the upstream (one rejection takes its slots from everybody for seconds).

Change: a pause is kept by upstream, process and host. The coordinator places the host's requests elsewhere, redirects them, or refuses them at once with the time at which the first upstream accepts them again; forecasts count the slots that are open to the queued requests.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -302,7 +302,7 @@
 	if a.grant.ReportObservation == nil || x == (observer.Terms{}) {
 		return
 	}
-	o := observer.Observation{Upstream: a.upstream.ID, Born: a.upstream.Born, Limit: x.Limit, ColdFor: x.ColdFor, Brittle: x.Brittle, Leaving: x.Leaving}
+	o := observer.Observation{Upstream: a.upstream.ID, Born: a.upstream.Born, Limit: x.Limit, ColdFor: x.ColdFor, Brittle: x.Brittle, Leaving: x.Leaving, PauseFor: x.PauseFor}
 	if x.Limit.State == observer.Unlimited {
 		o.Age = time.Since(a.start)
 	}
--- a/foxtaild/linker/admitter.go
+++ b/foxtaild/linker/admitter.go
@@ -181,7 +181,7 @@
 		l.report(r, via == nil, frame{Progress: []coordinator.Progress{{ID: req.ID, FirstToken: first}}})
 	}
 	g.ReportObservation = func(o observer.Observation) {
-		if o.Limit.State != observer.Limited && o.ColdFor <= 0 && !o.Brittle && !o.Leaving && !l.Sensitive(o.Upstream, o.Born) {
+		if o.Limit.State != observer.Limited && o.ColdFor <= 0 && !o.Brittle && !o.Leaving && o.PauseFor <= 0 && !l.Sensitive(o.Upstream, o.Born) {
 			return
 		}
 		l.report(r, true, frame{Observed: []observer.Observation{o}})
--- a/foxtaild/linker/configuration_test.go
+++ b/foxtaild/linker/configuration_test.go
@@ -45,7 +45,7 @@
 			change(1, []router.Pool{{Name: "engines"}}, engine("engine", "engines", 1))
 			c := coordinator.New("process", coordinator.Bounds{})
 			c.SetFleet(coordinator.Fleet{Hosts: 2, Share: 1, QuotaShare: 1, Domain: "a", Scope: []string{"a"}}, time.Now())
-			l := newLoop(c, dir, slog.New(slog.DiscardHandler))
+			l := newLoop("host", c, dir, slog.New(slog.DiscardHandler))
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			go l.run(ctx)
--- a/foxtaild/linker/fetch_test.go
+++ b/foxtaild/linker/fetch_test.go
@@ -19,7 +19,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		l := &Linker{
 			directory: d, log: slog.New(slog.DiscardHandler), ctx: ctx,
-			loop: newLoop(coordinator.New("p", coordinator.Bounds{}), d, slog.New(slog.DiscardHandler)), followers: make(map[*follower]struct{}),
+			loop: newLoop("host", coordinator.New("p", coordinator.Bounds{}), d, slog.New(slog.DiscardHandler)), followers: make(map[*follower]struct{}),
 		}
 		conn, remote := net.Pipe()
 		go l.serveLink(ctx, conn)
--- a/foxtaild/linker/limit_test.go
+++ b/foxtaild/linker/limit_test.go
@@ -67,6 +67,45 @@
 	}
 }
 
+// TestPauseConcernsOneHost reports at one host that the engine wants none of its requests.
+func TestPauseConcernsOneHost(t *testing.T) {
+	hosts := startFleet(t, 3)
+	for _, h := range hosts {
+		h.mustAdmit(t)()
+	}
+	hosts[1].observe(t, observer.Observation{Upstream: "engine", PauseFor: time.Minute})
+	eventually(t, "the host knows the pause", func() bool {
+		reason, ok := hosts[1].Accepts("engine", 0)
+		return !ok && reason == "upstreamPaused"
+	})
+	eventually(t, "the coordinator refuses the host's requests", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		g, err := hosts[1].Admit(ctx, newRequest())
+		if g.ReportFinish != nil {
+			g.ReportFinish(coordinator.Finish{Ending: coordinator.Unused})
+		}
+		return err == nil && g.Refusal != nil
+	})
+	for _, h := range []*host{hosts[0], hosts[2]} {
+		h.mustAdmit(t)()
+		if _, ok := h.Accepts("engine", 0); !ok {
+			t.Error("another host keeps to the pause")
+		}
+	}
+	hosts[0].stop()
+	eventually(t, "the next coordinator refuses the host's requests", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		g, err := hosts[1].Admit(ctx, newRequest())
+		if g.ReportFinish != nil {
+			g.ReportFinish(coordinator.Finish{Ending: coordinator.Unused})
+		}
+		return err == nil && g.Refusal != nil && hosts[1].gauge("coordinating", "") == 1
+	})
+	hosts[2].mustAdmit(t)()
+}
+
 // TestNewCoordinatorKnowsLimits stops the coordinator after a limit was reported at another
 // host: the next one is told by that host.
 func TestNewCoordinatorKnowsLimits(t *testing.T) {
--- a/foxtaild/linker/limits_test.go
+++ b/foxtaild/linker/limits_test.go
@@ -26,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			log := slog.New(slog.DiscardHandler)
 			k := &link{address: "1", out: make(chan frame, 1), broken: make(chan struct{})}
-			l := &Linker{loop: newLoop(coordinator.New("p", coordinator.Bounds{}), directory.New(log), log), links: map[string]*link{"1": k}}
+			l := &Linker{loop: newLoop("host", coordinator.New("p", coordinator.Bounds{}), directory.New(log), log), links: map[string]*link{"1": k}}
 			now := time.Now()
 			l.loop.observe("test", []observer.Observation{{Upstream: "u", Limit: observer.Limit{State: observer.Limited, Rate: 2}}}, now)
 			l.loop.publishLimits(now)
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -109,7 +109,7 @@
 		settings:  s,
 		directory: d,
 		log:       log,
-		loop:      newLoop(coordinator.New(s.Process, s.Bounds), d, log),
+		loop:      newLoop(s.Host, coordinator.New(s.Process, s.Bounds), d, log),
 		detector: detector.New(detector.Member{
 			ID: s.Host, Address: s.Address, Domain: s.Domain, Region: s.Region,
 			Incarnation: uint64(now.UnixMilli()),
@@ -194,7 +194,7 @@
 	gauges = append(gauges, l.origins.gauges()...)
 	for _, p := range l.loop.loads() {
 		for name, n := range map[string]int{
-			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected, "pool_upstreams_leaving": p.Leaving,
+			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected, "pool_upstreams_leaving": p.Leaving, "pool_upstreams_pausing": p.Pausing,
 			"pool_slots": p.Slots, "pool_running": p.Running, "pool_waiting": p.Waiting,
 			"pool_upstreams_limited": p.Limited, "pool_limit_spent": p.LimitSpent,
 		} {
--- a/foxtaild/linker/loop.go
+++ b/foxtaild/linker/loop.go
@@ -30,6 +30,8 @@
 
 // loop is the event loop that owns this host's coordinator.
 type loop struct {
+	// host is the name of this host.
+	host        string
 	coordinator *coordinator.Coordinator
 	directory   *directory.Directory
 	events      chan func(now time.Time)
@@ -61,8 +63,9 @@
 }
 
 // newLoop returns a loop; the caller must call run.
-func newLoop(c *coordinator.Coordinator, d *directory.Directory, log *slog.Logger) *loop {
+func newLoop(host string, c *coordinator.Coordinator, d *directory.Directory, log *slog.Logger) *loop {
 	l := &loop{
+		host:        host,
 		coordinator: c,
 		log:         log,
 		directory:   d,
@@ -171,7 +174,7 @@
 		l.coordinator.DropEntry(entry)
 		l.sinks[entry] = s
 		l.coordinator.Adopt(entry, h.Running, now)
-		l.observe(h.Entry, h.Observed, now)
+		l.observe(entry, h.Observed, now)
 		l.sendLimits(s, 0, now)
 	})
 }
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -307,6 +307,9 @@
 			if now.Before(u.ejection.until) {
 				l.Ejected++
 			}
+			if c.observed.IsPausing(u.ID, u.Born, now) {
+				l.Pausing++
+			}
 		}
 		loads = append(loads, l)
 	}
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -161,7 +161,7 @@
 // its version, and has not been tried on the upstream before, and whether the host reaches
 // the upstream.
 func (c *Coordinator) allowed(u *upstream, entry string, r Request, now time.Time) bool {
-	return c.suits(u, r) && c.reaches(entry, u, now) && (!u.brittle || !c.fleet.Standalone || c.mayUseBrittle(u))
+	return c.suits(u, r) && c.reaches(entry, u, now) && !c.isPaused(entry, u, now) && (!u.brittle || !c.fleet.Standalone || c.mayUseBrittle(u))
 }
 
 // suits reports whether a request may run in the upstream's region and at its version, and
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -72,6 +72,9 @@
 	retries         *limiter.Bucket
 	// forecaster predicts how long queued requests will wait.
 	forecaster forecaster
+	// open holds, by upstream, the fraction of the queued requests whose entry hosts it has
+	// not told to pause, as of the last sweep; it is nil if it has told none.
+	open map[string]float64
 	// round counts the calls of serve, lastSweep is the time at which the whole
 	// queue was last checked.
 	round     uint64
@@ -249,6 +252,7 @@
 	if from > 0 {
 		return fc
 	}
+	c.shareRoom(p, now)
 	limitWait := c.timeUntilWithinLimits(p, now)
 	defer func() { fc.limitWait = limitWait }()
 	if c.fleet.Standalone || !c.rejectEarly {
@@ -314,14 +318,19 @@
 		return true
 	}
 	after := minRetryAfter
+	paused := c.timeUntilResumed(p, w, now)
+	if paused > 0 {
+		after = w.retryAfter(paused, now)
+	}
 	if !c.tooLate(w, now) && !c.isCutOff(p, w, now) {
 		reject := false
 		if w.Version != "" {
 			reject, after = c.rejectBound(p, w, fc, position, now)
 		} else {
 			reject, after = w.rejectEarly(fc.wait(rankOf(w.Request), w.late, position), now)
-			if !reject && fc.limitWait > w.remainingWait(now) {
-				reject, after = true, w.retryAfter(fc.limitWait, now)
+			wait := max(fc.limitWait, paused)
+			if !reject && wait > w.remainingWait(now) {
+				reject, after = true, w.retryAfter(wait, now)
 			}
 		}
 		if !reject {
--- a/scheduler/coordinator/reach.go
+++ b/scheduler/coordinator/reach.go
@@ -53,7 +53,9 @@
 // noteUnreached records an entry host for the current round if it reaches no upstream that can
 // accept a request. Its requests are then not tried one by one.
 func (c *Coordinator) noteUnreached(p *pool, name string, now time.Time) {
-	if c.entries[name] == nil || slices.ContainsFunc(p.members, func(u *upstream) bool { return u.canAccept(now) && c.reaches(name, u, now) }) {
+	if c.entries[name] == nil || slices.ContainsFunc(p.members, func(u *upstream) bool {
+		return u.canAccept(now) && c.reaches(name, u, now) && !c.isPaused(name, u, now)
+	}) {
 		return
 	}
 	p.unreached = append(p.unreached, name)
@@ -68,10 +70,11 @@
 
 // timeUntilReached returns the time until an entry host may be sent to an upstream.
 func (c *Coordinator) timeUntilReached(name string, u *upstream, now time.Time) time.Duration {
+	d := max(0, c.pausedUntil(name, u).Sub(now))
 	if e := c.entries[name]; e != nil {
-		return max(0, e.ejected[u.ID].until.Sub(now))
+		d = max(d, e.ejected[u.ID].until.Sub(now))
 	}
-	return 0
+	return d
 }
 
 // recordResponse records that an upstream has responded to a request that an entry host was
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -178,6 +178,8 @@
 	// Leaving counts the upstreams that have said that their process ends soon; the other
 	// numbers leave them out.
 	Leaving int
+	// Pausing counts the upstreams that want no requests of some host for a while.
+	Pausing int
 	// Slots is the total number of slots, Running the number of running
 	// requests and Waiting the number of queued ones.
 	Slots, Running, Waiting int
--- a/scheduler/coordinator/version.go
+++ b/scheduler/coordinator/version.go
@@ -137,7 +137,7 @@
 func (c *Coordinator) slotsFor(p *pool, condition func(*upstream) bool, now time.Time) (n float64) {
 	for _, u := range p.members {
 		if u.eligible(now) && condition(u) {
-			n += u.usableSlots(p.forecaster.meanHold)
+			n += u.usableSlots(p.forecaster.meanHold) * p.openShare(u)
 		}
 	}
 	return n
--- a/scheduler/observer/table.go
+++ b/scheduler/observer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -13,6 +14,8 @@
 	// coldTolerance is the time by which the end of a warm-up may move without being a
 	// change: responses name the remaining time, which takes a while to arrive.
 	coldTolerance = time.Second
+	// pauseTolerance is the time by which the end of a pause may move without being a change.
+	pauseTolerance = 100 * time.Millisecond
 	// goneRetention is how long the record of an upstream that may receive no requests is
 	// kept, as it may return: its failure domain may be evacuated.
 	goneRetention = 10 * time.Minute
@@ -35,6 +38,10 @@
 	Brittle bool
 	// Leaving reports whether the upstream's process ends soon.
 	Leaving bool
+	// PauseFor is the remaining time for which the upstream wants no requests of Host, 0 if
+	// none. Host is set by the receiver, to its name of the host that has sent this.
+	PauseFor time.Duration
+	Host     string
 }
 
 // Change is what an observation changes.
@@ -57,11 +64,14 @@
 	// BeganLeaving means that the upstream's process ends soon. It is returned if nothing
 	// else changes.
 	BeganLeaving
+	// PausedHost means that the upstream wants no requests of a host for a while. It is
+	// returned if nothing else changes.
+	PausedHost
 )
 
 // String returns the name of the change as it is logged.
 func (c Change) String() string {
-	return [...]string{"none", "began", "changed", "ended", "brittle", "sound", "leaving"}[c]
+	return [...]string{"none", "began", "changed", "ended", "brittle", "sound", "leaving", "paused"}[c]
 }
 
 // record is the latest observation of an upstream. born is the latest start of a process that
@@ -78,16 +88,28 @@
 	// leaving is set by a response that says so, of the process that started at leavingBorn.
 	leaving     bool
 	leavingBorn int64
+	// pauses are those of hosts, by name.
+	pauses map[string]pause
 	// seenAt is the time of the latest observation.
 	seenAt time.Time
 	// changed is the value of Table.changes at the last change of any of this.
 	changed uint64
 }
 
+// pause is the time until which the process of an upstream that started at born wants no
+// requests of a host. changed is the value of Table.changes when it began.
+type pause struct {
+	born    int64
+	until   time.Time
+	changed uint64
+}
+
 // Table holds the latest observation of each upstream. It is not safe for concurrent use.
 type Table struct {
 	records map[string]*record
 	changes uint64
+	// pausedUntil is the end of the last pause.
+	pausedUntil time.Time
 }
 
 // NewTable returns an empty table.
@@ -100,7 +122,7 @@
 	at := now.Add(-o.Age)
 	r := t.records[o.Upstream]
 	if r == nil {
-		if o.Limit.State != Limited && o.ColdFor <= 0 && !o.Brittle && !o.Leaving {
+		if o.Limit.State != Limited && o.ColdFor <= 0 && !o.Brittle && !o.Leaving && o.PauseFor <= 0 {
 			return None
 		}
 		r = &record{limit: Limit{State: Unlimited}}
@@ -108,7 +130,10 @@
 	}
 	r.born, r.seenAt = max(r.born, o.Born), now
 	t.recordWarmUp(r, o, now)
-	c = t.recordLeaving(r, o)
+	c = t.recordPause(r, o, now)
+	if l := t.recordLeaving(r, o); l != None {
+		c = l
+	}
 	if b := t.recordBrittle(r, o, at); b != None {
 		c = b
 	}
@@ -176,6 +201,55 @@
 	return BeganLeaving
 }
 
+// recordPause records that an upstream wants no requests of a host for a while.
+func (t *Table) recordPause(r *record, o Observation, now time.Time) (c Change) {
+	until := now.Add(o.PauseFor)
+	p := r.pauses[o.Host]
+	if o.PauseFor <= 0 || o.Born < p.born || o.Born == p.born && !until.After(p.until) {
+		return None
+	}
+	if r.pauses == nil {
+		r.pauses = make(map[string]pause)
+	}
+	if o.Born > p.born || until.Sub(p.until) > pauseTolerance {
+		t.changes++
+		p.changed, c = t.changes, PausedHost
+	}
+	p.born, p.until = o.Born, until
+	r.pauses[o.Host] = p
+	if until.After(t.pausedUntil) {
+		t.pausedUntil = until
+	}
+	return c
+}
+
+// PausedUntil returns until when an upstream wants no requests of a host, or zero if its
+// process has named no time.
+func (t *Table) PausedUntil(upstream string, born int64, host string) time.Time {
+	r := t.records[upstream]
+	if r == nil || r.pauses[host].born < born {
+		return time.Time{}
+	}
+	return r.pauses[host].until
+}
+
+// IsPausing reports whether the process of an upstream wants no requests of some host.
+func (t *Table) IsPausing(upstream string, born int64, now time.Time) bool {
+	r := t.records[upstream]
+	if r == nil {
+		return false
+	}
+	for _, p := range r.pauses {
+		if p.born >= born && now.Before(p.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// Pausing reports whether any upstream wants no requests of some host.
+func (t *Table) Pausing(now time.Time) bool { return now.Before(t.pausedUntil) }
+
 // Leaving reports whether the process of an upstream has said that it ends soon.
 func (t *Table) Leaving(upstream string, born int64) bool {
 	r := t.records[upstream]
@@ -213,7 +287,7 @@
 func (t *Table) Changes() uint64 { return t.changes }
 
 // Since returns the observations that changed something after an earlier value of Changes,
-// sorted by upstream.
+// sorted by upstream and host: one of each upstream, and one of each pause that has not ended.
 func (t *Table) Since(changes uint64, now time.Time) (list []Observation) {
 	for id, r := range t.records {
 		if r.changed > changes {
@@ -222,8 +296,15 @@
 				Leaving: r.leaving && r.leavingBorn >= r.born,
 			})
 		}
+		for host, p := range r.pauses {
+			if p.changed > changes && now.Before(p.until) {
+				list = append(list, Observation{Upstream: id, Born: p.born, PauseFor: p.until.Sub(now), Host: host})
+			}
+		}
 	}
-	slices.SortFunc(list, func(a, b Observation) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	slices.SortFunc(list, func(a, b Observation) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Host, b.Host))
+	})
 	return list
 }
 
@@ -231,7 +312,8 @@
 // upstreams that are not usable, when nothing was observed of them for long.
 func (t *Table) Prune(usable func(upstream string) bool, now time.Time) {
 	for id, r := range t.records {
-		ended := r.limit.State == Unlimited && !now.Before(r.coldUntil) && !r.brittle && !r.leaving
+		maps.DeleteFunc(r.pauses, func(_ string, p pause) bool { return !now.Before(p.until) })
+		ended := r.limit.State == Unlimited && !now.Before(r.coldUntil) && !r.brittle && !r.leaving && len(r.pauses) == 0
 		if ended && now.Sub(r.at) > endRetention || now.Sub(r.seenAt) > goneRetention && !usable(id) {
 			delete(t.records, id)
 		}
--- a/scheduler/observer/table_test.go
+++ b/scheduler/observer/table_test.go
@@ -223,6 +223,77 @@
 	}
 }
 
+// TestPause records pairs of observations of one host a second apart.
+func TestPause(t *testing.T) {
+	pause := func(host string, born int64, d time.Duration) observer.Observation {
+		return observer.Observation{Upstream: "u", Born: born, Host: host, PauseFor: d}
+	}
+	sound := unlimited(0)
+	sound.Host = "a"
+	tests := map[string]struct {
+		first, second observer.Observation
+		want          observer.Change
+		// until is the end of the pause of host a at process 1, in seconds after the start, 0
+		// if there is none.
+		until float64
+	}{
+		"named":                     {unlimited(0), pause("a", 1, 5*time.Second), observer.PausedHost, 6},
+		"of another host":           {unlimited(0), pause("b", 1, 5*time.Second), observer.PausedHost, 0},
+		"longer":                    {pause("a", 1, 5*time.Second), pause("a", 1, 9*time.Second), observer.PausedHost, 10},
+		"the same":                  {pause("a", 1, 5*time.Second), pause("a", 1, 4*time.Second), observer.None, 5},
+		"shorter":                   {pause("a", 1, 5*time.Second), pause("a", 1, time.Second), observer.None, 5},
+		"not named again":           {pause("a", 1, 5*time.Second), sound, observer.None, 5},
+		"of the next process":       {pause("a", 1, 5*time.Second), pause("a", 2, 2*time.Second), observer.PausedHost, 3},
+		"of a former process":       {pause("a", 2, 5*time.Second), pause("a", 1, 9*time.Second), observer.None, 5},
+		"of a former process alone": {pause("a", 0, 5*time.Second), sound, observer.None, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := observer.NewTable()
+			table.Record(tt.first, start)
+			if got := table.Record(tt.second, start.Add(time.Second)); got != tt.want {
+				t.Errorf("change %v, want %v", got, tt.want)
+			}
+			want := time.Time{}
+			if tt.until > 0 {
+				want = start.Add(time.Duration(tt.until * float64(time.Second)))
+			}
+			if got := table.PausedUntil("u", 1, "a"); !got.Equal(want) {
+				t.Errorf("paused until %v, want %v", got, want)
+			}
+			after := start.Add(time.Minute)
+			table.Prune(func(string) bool { return true }, after)
+			if list := table.Since(0, after); table.Pausing(after) || table.IsPausing("u", 1, after) || len(list) > 1 {
+				t.Errorf("a minute later the table holds %+v", list)
+			}
+		})
+	}
+}
+
+// TestPausesAreToldToOtherTables copies the observations of one table to another.
+func TestPausesAreToldToOtherTables(t *testing.T) {
+	one, two := observer.NewTable(), observer.NewTable()
+	for _, host := range []string{"a", "b"} {
+		one.Record(observer.Observation{Upstream: "u", Born: 1, Host: host, PauseFor: 5 * time.Second, Limit: observer.Limit{State: observer.Limited, Rate: 2}}, start)
+	}
+	now := start.Add(time.Second)
+	list := one.Since(0, now)
+	if len(list) != 3 {
+		t.Fatalf("%d observations, want that of the upstream and two of hosts", len(list))
+	}
+	for _, o := range list {
+		two.Record(o, now)
+	}
+	for _, host := range []string{"a", "b"} {
+		if got := two.PausedUntil("u", 1, host); !got.Equal(start.Add(5 * time.Second)) {
+			t.Errorf("host %s is paused until %v", host, got)
+		}
+	}
+	if _, _, ok := two.Limit("u", 1); !ok {
+		t.Error("the limit is missing")
+	}
+}
+
 // TestOlderRecordDoesNotReviveLimit gives a table, after the end of a limit, what a host has
 // kept that does not know of the end.
 func TestOlderRecordDoesNotReviveLimit(t *testing.T) {
--- a/scheduler/observer/terms.go
+++ b/scheduler/observer/terms.go
@@ -48,4 +48,7 @@
 	Brittle bool
 	// Leaving reports whether the upstream's process ends soon.
 	Leaving bool
+	// PauseFor is the time for which the upstream wants no requests of the host that sent
+	// this one, 0 if it names none.
+	PauseFor time.Duration
 }
