router, directory, linker: the configuration is sent between hosts as what differs

Cause: a change of one route sent the whole document, 1,600 routes, to each host over each of its two feeds, and again to hosts that fetched it meanwhile.

Change: router.Delta holds the edits of each list against a version with a digest. One that does not apply makes the receiver ask for the whole; the upstreams that come with it are applied. Hosts that do not say that they understand deltas get whole documents, so builds before are fed as ever.

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -13,50 +13,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"foxtaillug.org/foxtaild/reporter"
 	"foxtaillug.org/scheduler/registrar"
 	"foxtaillug.org/scheduler/router"
 )
 
-// Upstream is an entry as hosts send it to each other.
-type Upstream struct {
-	registrar.Entry
-	// ColdFor is the remaining warm-up time. It is sent in place of ColdUntil
-	// because the hosts' clocks differ.
-	ColdFor time.Duration
-}
-
-// Snapshot is the content of a directory, or its changes, as sent to a peer.
-type Snapshot struct {
-	// Full reports whether Upstreams holds all upstreams, and not only those
-	// that have changed since the previous snapshot.
-	Full bool
-	// Document is nil if it has not changed since the previous snapshot.
-	Document  *router.Document
-	Upstreams []Upstream
-	Removed   []string
-	Evacuated []string
-	// Era and Revision are the position in the store.
-	Era, Revision uint64
-}
-
-// position returns the snapshot's position in the store.
-func (s *Snapshot) position() registrar.Position {
-	return registrar.Position{Era: s.Era, Revision: s.Revision}
-}
-
-// Cursor marks the changes of a directory that a peer has received. The zero
-// Cursor stands for none.
-type Cursor struct {
-	// version is the version of the configuration, entries the registrar's
-	// number of changes and changes the directory's.
-	version, entries, changes uint64
-	// full reports whether the peer has received a full snapshot.
-	full bool
-}
-
 // Directory is a host's copy of the configuration and the upstreams. It is safe
 // for concurrent use.
 type Directory struct {
@@ -64,8 +25,9 @@
 	table   router.Versioned
 	changes atomic.Uint64
 
-	mu        sync.Mutex
-	document  router.Document
+	mu sync.Mutex
+	// documents are the last versions of the configuration; the last one is in force.
+	documents []*versionedDocument
 	registrar *registrar.Registrar
 	position  registrar.Position
 	// listed reports whether a complete listing of the upstreams has been
@@ -103,30 +65,6 @@
 	return d.listed && d.table.Table() != nil
 }
 
-// Configure puts a document in force unless one with the same or a newer version
-// already is. An invalid document is rejected with an error and the old one stays
-// in force.
-func (d *Directory) Configure(doc router.Document) (err error) {
-	defer func() {
-		if err != nil {
-			d.log.Error("configuration refused", "version", doc.Version, "error", err.Error())
-		}
-	}()
-	t, err := router.NewTable(doc)
-	if err != nil {
-		return err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.table.Apply(t) {
-		return nil
-	}
-	d.document = doc
-	d.changes.Add(1)
-	d.log.Info("configuration in force", "version", doc.Version, "routes", len(doc.Routes))
-	return nil
-}
-
 // Update applies changes that were read from the store up to a position. An update
 // from an older position than the directory's is ignored.
 func (d *Directory) Update(p registrar.Position, apply func(*registrar.Registrar)) {
@@ -305,80 +243,3 @@
 	defer d.mu.Unlock()
 	return now.Sub(d.peerSyncedAt) < within
 }
-
-// Snapshot returns the changes since a cursor, and the new cursor. The zero
-// Cursor requests everything. It returns false if there are no changes or the
-// directory is not loaded.
-func (d *Directory) Snapshot(c Cursor, now time.Time) (s Snapshot, next Cursor, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	changes := d.changes.Load()
-	if !d.listed || d.table.Table() == nil || c.full && c.changes == changes {
-		return s, c, false
-	}
-	if !d.registrar.KnowsRemovedSince(c.entries) {
-		c.full, c.entries = false, 0
-	}
-	s = Snapshot{Full: !c.full, Evacuated: d.registrar.Evacuated(), Era: d.position.Era, Revision: d.position.Revision}
-	if d.document.Version != c.version {
-		doc := d.document
-		s.Document = &doc
-	}
-	changed, removed := d.registrar.Since(c.entries)
-	if c.full {
-		s.Removed = removed
-	}
-	for _, e := range changed {
-		u := Upstream{Entry: e}
-		if e.ColdUntil.After(now) {
-			u.ColdFor = e.ColdUntil.Sub(now)
-		}
-		u.ColdUntil = time.Time{}
-		s.Upstreams = append(s.Upstreams, u)
-	}
-	return s, Cursor{version: d.document.Version, entries: d.registrar.Changes(), changes: changes, full: true}, true
-}
-
-// Adopt applies a peer's snapshot: its document if that has a newer version, and
-// its upstreams unless the directory has a newer position.
-func (d *Directory) Adopt(s Snapshot, now time.Time) (err error) {
-	defer func() {
-		if err != nil {
-			err = eris.Wrap(err, "adopt snapshot of a peer")
-		}
-	}()
-	if s.Document != nil && s.Document.Version > d.table.Version() {
-		if err := d.Configure(*s.Document); err != nil {
-			return err
-		}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.listed && s.position().Compare(d.position) < 0 {
-		return nil
-	}
-	d.beginEra(s.position(), now)
-	entries := make([]registrar.Entry, 0, len(s.Upstreams))
-	for _, u := range s.Upstreams {
-		if u.ColdFor > 0 {
-			u.ColdUntil = now.Add(u.ColdFor)
-		}
-		entries = append(entries, u.Entry)
-	}
-	if s.Full {
-		d.registrar.Replace(entries, now)
-	} else {
-		for _, e := range entries {
-			d.registrar.Put(e)
-		}
-		for _, id := range s.Removed {
-			d.registrar.Forget(id)
-		}
-	}
-	d.registrar.ReplaceEvacuations(s.Evacuated)
-	d.position = s.position()
-	d.listed = d.listed || s.Full
-	d.changes.Add(1)
-	d.log.Info("directory taken over from a peer", "position", d.position.String(), "full", s.Full, "upstreams", len(entries), "removed", len(s.Removed))
-	return nil
-}
--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 
 	"foxtaillug.org/foxtaild/directory"
 	"foxtaillug.org/scheduler/detector"
+	"foxtaillug.org/scheduler/router"
 )
 
 const (
@@ -189,13 +191,14 @@
 				continue
 			}
 			followed[address] = k
-			k.send(frame{Follow: true})
+			k.send(l.withConfiguration(frame{Follow: true}))
 		}
 	}
 }
 
-// receiveUpdate applies an update of the directory or of upstreams' limits from a peer.
-func (l *Linker) receiveUpdate(r response) {
+// receiveUpdate applies an update of the directory or of upstreams' limits from the peer of a
+// link. It asks for the whole directory if the update does not apply to what this host has.
+func (l *Linker) receiveUpdate(k *link, r response) {
 	now := time.Now()
 	if len(r.Observed) > 0 {
 		l.loop.enqueue(l.ctx, func(now time.Time) { l.loop.observe("coordinator", r.Observed, now) })
@@ -205,6 +208,11 @@
 		if err == nil {
 			err = l.directory.Adopt(s, now)
 		}
+		if errors.Is(err, router.ErrOtherBase) {
+			l.log.Info("peer's changes of the configuration are relative to another one", "peer", k.address, "error", err.Error())
+			k.send(l.withConfiguration(frame{Fetch: true}))
+			return
+		}
 		if err != nil {
 			l.log.Error("peer snapshot rejected", "error", err.Error())
 			return
--- a/foxtaild/linker/feed_test.go
+++ b/foxtaild/linker/feed_test.go
@@ -87,6 +87,86 @@
 	}
 }
 
+// manyRoutes returns a configuration of a version with many routes, one of which differs
+// between versions.
+func manyRoutes(version uint64) router.Document {
+	d := router.Document{Version: version, Pools: []router.Pool{{Name: "engines"}}}
+	for i := range 1600 {
+		d.Routes = append(d.Routes, router.Route{
+			Name: fmt.Sprint("route-", i), Host: "h.example", Prefix: fmt.Sprintf("/service-%d/", i), Timeout: time.Second,
+			Targets: []router.Target{{Pool: "engines", Weight: 1}},
+		})
+	}
+	d.Routes[5].Timeout = time.Duration(version)
+	return d
+}
+
+// TestChangedRouteCostsNoWholeConfiguration changes a route among many. Followers that
+// understand deltas are sent little, others the whole.
+func TestChangedRouteCostsNoWholeConfiguration(t *testing.T) {
+	d := filledDirectory(t, 1)
+	l, updates := newFeedLinker(d, 3)
+	old := &follower{}
+	for f := range l.followers {
+		if old.push == nil {
+			old = f
+			continue
+		}
+		f.cursor = (&frame{Deltas: true}).cursor()
+	}
+	for version := uint64(2); version < 5; version++ {
+		if err := d.Configure(manyRoutes(version)); err != nil {
+			t.Fatal(err)
+		}
+		l.updateFollowers(time.Now())
+	}
+	for f, got := range updates {
+		whole, last := len(got[0].Snapshot), len(got[2].Snapshot)
+		if f != old && last > whole/50 {
+			t.Errorf("a changed route cost %d bytes, the whole %d", last, whole)
+		}
+		if f == old && last < whole/2 {
+			t.Errorf("a host that does not understand deltas was sent %d bytes", last)
+		}
+		fresh := directory.New(l.log)
+		for _, r := range got {
+			s, err := decodeSnapshot(r.Snapshot)
+			if err == nil {
+				err = fresh.Adopt(s, time.Now())
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if v, digest := fresh.Configuration(); v != 4 || digest != digestOf(d) {
+			t.Errorf("a follower has version %d with digest %x, want 4 with %x", v, digest, digestOf(d))
+		}
+	}
+}
+
+// digestOf returns the digest of a directory's configuration.
+func digestOf(d *directory.Directory) uint64 {
+	_, digest := d.Configuration()
+	return digest
+}
+
+// TestUpdateRelativeToAnotherConfigurationIsAskedForWhole receives a delta that does not apply.
+func TestUpdateRelativeToAnotherConfigurationIsAskedForWhole(t *testing.T) {
+	d := filledDirectory(t, 1)
+	l, _ := newFeedLinker(d, 0)
+	k := &link{out: make(chan frame, 1), broken: make(chan struct{})}
+	base, next := manyRoutes(7), manyRoutes(8)
+	b, err := encodeSnapshot(directory.Snapshot{Delta: router.Diff(&base, base.Digest(), &next), Revision: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.receiveUpdate(k, response{Snapshot: b})
+	f := <-k.out
+	if version, digest := d.Configuration(); !f.Fetch || !f.Deltas || f.Version != version || f.Digest != digest {
+		t.Errorf("sent %+v, want a request for the directory", f)
+	}
+}
+
 // BenchmarkFeed sends one change to the hosts of a failure domain that are
 // otherwise up to date.
 func BenchmarkFeed(b *testing.B) {
--- a/foxtaild/linker/link.go
+++ b/foxtaild/linker/link.go
@@ -48,7 +48,7 @@
 	log     *slog.Logger
 
 	// onUpdate receives the peer's directory updates.
-	onUpdate func(response)
+	onUpdate func(*link, response)
 
 	mu sync.Mutex
 	// pending holds the admission requests that wait for a decision, by ID.
@@ -62,7 +62,7 @@
 }
 
 // dialLink opens a link. The first frame sent on it must be a hello.
-func dialLink(ctx context.Context, address string, onUpdate func(response), log *slog.Logger) (l *link, err error) {
+func dialLink(ctx context.Context, address string, onUpdate func(*link, response), log *slog.Logger) (l *link, err error) {
 	d := net.Dialer{Timeout: linkDialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -186,7 +186,7 @@
 		}
 		l.mu.Unlock()
 		if r.Snapshot != nil || r.Current || len(r.Observed) > 0 {
-			l.onUpdate(r)
+			l.onUpdate(l, r)
 		}
 	}
 }
--- a/foxtaild/linker/messages.go
+++ b/foxtaild/linker/messages.go
@@ -32,6 +32,10 @@
 	Fetch bool
 	// Follow subscribes to the directory: a snapshot now, then every change.
 	Follow bool
+	// Deltas reports, beside Fetch or Follow, that the host understands deltas of the
+	// configuration. Version and Digest are those of its configuration, 0 if it has none.
+	Deltas          bool
+	Version, Digest uint64
 }
 
 // hello names the entry host that dialled a link and lists its running requests.
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -84,13 +84,16 @@
 		if f.Fetch {
 			// The requester repeats its request until it is no longer behind, so a
 			// snapshot that would have to wait for earlier responses is left out.
-			if u := l.encodeUpdate(directory.Cursor{}, time.Now()); u.snapshot != nil {
+			if u := l.encodeUpdate(f.cursor(), time.Now()); u.snapshot != nil {
 				_ = fol.push(response{Snapshot: u.snapshot})
 			}
 		}
 		if f.Follow {
 			l.mu.Lock()
-			l.followers[fol] = struct{}{}
+			if _, follows := l.followers[fol]; !follows {
+				fol.cursor = f.cursor()
+				l.followers[fol] = struct{}{}
+			}
 			l.mu.Unlock()
 		}
 		l.loop.applyFrame(ctx, entry, &f)
@@ -100,6 +103,14 @@
 	}
 }
 
+// cursor returns the cursor of a host that has just asked for the directory.
+func (f *frame) cursor() directory.Cursor {
+	if !f.Deltas {
+		return directory.Cursor{}
+	}
+	return directory.CursorAt(f.Version, f.Digest)
+}
+
 // writeResponses writes queued responses, batching those that are already
 // queued.
 func writeResponses(ctx context.Context, cancel context.CancelFunc, conn net.Conn, out <-chan response) {
