--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -60,6 +60,8 @@
 	appliedFleet coordinator.Fleet
 	// seq is the ID of the last admission request.
 	seq atomic.Uint64
+	// announced is the newest version of the configuration that another host has.
+	announced atomic.Uint64
 	// leaving is closed by Leave.
 	leaving chan struct{}
 	// ctx is done when Run ends; cancel cancels it.
--- a/foxtaild/linker/peers.go
+++ b/foxtaild/linker/peers.go
@@ -93,10 +93,13 @@
 		own.Version = t.Version()
 	}
 	stale := !l.directory.Loaded() || l.directory.StoreStale(time.Now(), storeStaleAfter)
+	newest := uint64(0)
+	defer func() { l.announced.Store(newest) }()
 	for _, m := range l.Members() {
 		if m.Status != detector.Alive {
 			continue
 		}
+		newest = max(newest, m.Version)
 		newer := m.Version > own.Version || stale && m.ComparePosition(own) > 0
 		if newer && (!ok || m.ComparePosition(best) > 0) {
 			best, ok = m, true
@@ -105,6 +108,13 @@
 	return best, ok
 }
 
+// Behind reports whether another host has a newer configuration than this one, as far as this
+// host knows.
+func (l *Linker) Behind() bool {
+	version, _ := l.directory.Configuration()
+	return l.announced.Load() > version
+}
+
 // fetch requests the snapshot of a member; receiveUpdate gets the response.
 func (l *Linker) fetch(ctx context.Context, m detector.Member) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -114,5 +124,13 @@
 		l.log.Info("can't request snapshot", "member", m.ID, "error", err.Error())
 		return
 	}
-	k.send(frame{Fetch: true})
+	k.send(l.withConfiguration(frame{Fetch: true}))
+}
+
+// withConfiguration returns a frame that asks for the directory with the configuration that
+// this host has, so that only what has changed since is sent.
+func (l *Linker) withConfiguration(f frame) frame {
+	f.Deltas = true
+	f.Version, f.Digest = l.directory.Configuration()
+	return f
 }
