linker: two hosts of a region read the store, two of a domain feed the others

Cause: two hosts in each failure domain read the store, so a configuration of half a megabyte crossed the link between two regions of three domains six times, as fast as it changed.

Change: the two oldest hosts of a region read the store, feed the two oldest of each of its domains, and those feed the others at once. A host that gets nothing reads the store itself, as before; readers of a domain do so without the random delay of the others. TestReadersAreTheOldestLive replaces TestDomainReadersAreTheOldestLive, whose cases it has, and adds regions.

--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -24,9 +24,9 @@
 	// maxFeedAgeRatio is the fraction of the update deadline after which a host
 	// that receives no updates reads the store itself.
 	maxFeedAgeRatio = 0.65
-	// storeReaders is the number of hosts of a failure domain that read the
-	// store.
-	storeReaders = 2
+	// readersEach is the number of hosts of a region that read the store, and of hosts of a
+	// failure domain that are fed by those and feed the others.
+	readersEach = 2
 	// firstSnapshotTimeout is how long a host that has just started waits for
 	// its first snapshot before it reads the store itself. If the failure domain has
 	// readers, up to firstReadSpread more for each of its live hosts is added, so that
@@ -44,21 +44,25 @@
 	// push queues a response; it returns false if earlier ones are still queued.
 	push     func(response) bool
 	lastSent time.Time
+	// synced is the time up to which the host has been told that it has everything.
+	synced time.Time
 }
 
-// ReadsStore reports whether this host is to read the store. The oldest members
-// of a failure domain read it and send updates to the others. A host that
-// receives no updates reads the store itself.
+// ReadsStore reports whether this host is to read the store. The oldest members of a
+// region read it and send updates to the readers of its failure domains, which send them
+// on: what is read crosses a link between regions once for each, however many hosts there
+// are. A host that receives no updates reads the store itself.
 func (l *Linker) ReadsStore(now time.Time) bool {
 	age := now.Sub(l.started)
 	if !l.settled(now) {
 		return false
 	}
-	if l.view.Load().isReader(l.settings.Address) {
+	v := l.view.Load()
+	if v.readsStore(l.settings.Address) {
 		return true
 	}
 	wait := firstSnapshotTimeout
-	if !l.directory.Loaded() {
+	if !l.directory.Loaded() && !v.isReader(l.settings.Address) {
 		wait += l.firstReadDelay()
 	}
 	return age > wait && !l.directory.PeerSyncedWithin(now, l.maxFeedAge())
@@ -81,11 +85,11 @@
 	return time.Duration(maxFeedAgeRatio * float64(l.settings.UpdateDeadline))
 }
 
-// domainReaders returns the addresses of the hosts of a failure domain that
-// read the store: its oldest members that are alive and not leaving.
-func domainReaders(domain string, members []detector.Member) (addresses []string) {
+// readersAmong returns the addresses of the readers among members that meet a condition: the
+// oldest that are alive and not leaving.
+func readersAmong(members []detector.Member, condition func(detector.Member) bool) (addresses []string) {
 	live := slices.DeleteFunc(slices.Clone(members), func(m detector.Member) bool {
-		return m.Domain != domain || m.Status != detector.Alive || m.Leaving
+		return !condition(m) || m.Status != detector.Alive || m.Leaving
 	})
 	slices.SortFunc(live, func(a, b detector.Member) int {
 		if a.Older(b) {
@@ -93,7 +97,7 @@
 		}
 		return 1
 	})
-	for _, m := range live[:min(storeReaders, len(live))] {
+	for _, m := range live[:min(readersEach, len(live))] {
 		addresses = append(addresses, m.Address)
 	}
 	return addresses
@@ -124,8 +128,11 @@
 // Followers at the same cursor share one encoded update, because all hosts of a
 // failure domain may have started at once.
 func (l *Linker) updateFollowers(now time.Time) {
-	current := l.view.Load().isReader(l.settings.Address)
-	age := now.Sub(l.directory.LastStoreResponse())
+	v := l.view.Load()
+	reads := v.readsStore(l.settings.Address)
+	current := reads || v.isReader(l.settings.Address)
+	synced := l.directory.LastStoreResponse()
+	age := now.Sub(synced)
 	updates := make(map[directory.Cursor]update)
 	for _, f := range l.listFollowers() {
 		u, known := updates[f.cursor]
@@ -136,11 +143,12 @@
 		switch {
 		case u.snapshot != nil:
 			if f.push(response{Snapshot: u.snapshot, Current: current, Age: age}) {
-				f.cursor, f.lastSent = u.next, now
+				f.cursor, f.lastSent, f.synced = u.next, now, synced
 			}
-		case current && now.Sub(f.lastSent) >= feedHeartbeat:
+		case current && (now.Sub(f.lastSent) >= feedHeartbeat || !reads && synced.After(f.synced)):
+			// What a reader has been told is sent on at once, as its age adds up.
 			if f.push(response{Current: true, Age: age}) {
-				f.lastSent = now
+				f.lastSent, f.synced = now, synced
 			}
 		}
 	}
@@ -168,8 +176,8 @@
 	return slices.Collect(maps.Keys(l.followers))
 }
 
-// followReaders subscribes to the store readers of this host's failure domain
-// until ctx is done, and again whenever the readers or the links to them change.
+// followReaders subscribes to the hosts that feed this one until ctx is done, and again
+// whenever they or the links to them change.
 func (l *Linker) followReaders(ctx context.Context) {
 	tick := time.NewTicker(feedInterval)
 	defer tick.Stop()
@@ -180,12 +188,7 @@
 			return
 		case <-tick.C:
 		}
-		v := l.view.Load()
-		if v.isReader(l.settings.Address) {
-			clear(followed)
-			continue
-		}
-		for _, address := range v.readers {
+		for _, address := range l.view.Load().sources(l.settings.Address) {
 			k, err := l.link(ctx, address)
 			if err != nil || k == followed[address] {
 				continue
--- a/foxtaild/linker/first_read_test.go
+++ b/foxtaild/linker/first_read_test.go
@@ -22,7 +22,9 @@
 		}
 		for i := range hosts {
 			l := &Linker{settings: Settings{Host: fmt.Sprint("host-a-", i), Domain: "a", Address: members[i].Address}, directory: directory.New(slog.New(slog.DiscardHandler)), started: now.Add(-age)}
-			l.view.Store(&view{members: members, readers: domainReaders("a", members)})
+			v := &view{members: members}
+			v.setReaders(members, members[i])
+			l.view.Store(v)
 			if l.ReadsStore(now) {
 				readers++
 			}
--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -35,9 +35,9 @@
 	// coordinating reports whether this host is the coordinator of its failure
 	// domain.
 	coordinating bool
-	// readers are the addresses of the hosts that read the store for this
-	// host's failure domain.
-	readers []string
+	// storeReaders are the addresses of the hosts that read the store for this host's
+	// region, and readers those of the hosts that feed its failure domain.
+	storeReaders, readers []string
 	// members are the other known hosts, live or not; hosts is their number
 	// plus one for this host.
 	members []detector.Member
@@ -51,9 +51,31 @@
 	return !slices.ContainsFunc(s.Seeds, func(address string) bool { return address != s.Address })
 }
 
-// isReader reports whether the host at an address reads the store.
+// readsStore reports whether the host at an address reads the store for the region.
+func (v *view) readsStore(address string) bool { return slices.Contains(v.storeReaders, address) }
+
+// isReader reports whether the host at an address feeds the failure domain.
 func (v *view) isReader(address string) bool { return slices.Contains(v.readers, address) }
 
+// setReaders sets the readers of the region and of the failure domain of a host among members.
+func (v *view) setReaders(members []detector.Member, self detector.Member) {
+	v.readers = readersAmong(members, func(m detector.Member) bool { return m.Domain == self.Domain })
+	v.storeReaders = readersAmong(members, func(m detector.Member) bool { return m.Region == self.Region })
+}
+
+// sources returns the addresses of the hosts that feed the host at an address: the readers of
+// its failure domain, or those of the region if it is one of them.
+func (v *view) sources(address string) []string {
+	switch {
+	case v.readsStore(address):
+		return nil
+	case v.isReader(address):
+		return v.storeReaders
+	default:
+		return v.readers
+	}
+}
+
 // updateView derives a new view if the membership has changed, at most once per
 // viewPeriod, so that many hosts starting at once do not each trigger it.
 func (l *Linker) updateView(now time.Time) {
@@ -91,7 +113,7 @@
 		v.coordinators[domain] = m.Address
 	}
 	v.coordinating = l.wasSettled && oldest[self.Domain].ID == self.ID
-	v.readers = domainReaders(self.Domain, append(slices.Clone(v.members), self))
+	v.setReaders(append(slices.Clone(v.members), self), self)
 	return v
 }
 
--- a/foxtaild/linker/fleet_test.go
+++ b/foxtaild/linker/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"foxtaillug.org/scheduler/detector"
@@ -47,14 +48,46 @@
 	}
 }
 
-func TestDomainReadersAreTheOldestLive(t *testing.T) {
-	list := members("a", 4, detector.Alive)
-	list[0].Status = detector.Suspect
-	list[1].Leaving = true
-	list = append(list, members("b", 2, detector.Alive)...)
-	got := domainReaders("a", list)
-	if len(got) != 2 || got[0] != "a-2" || got[1] != "a-3" {
-		t.Errorf("readers %v, want a-2 and a-3", got)
+// TestReadersAreTheOldestLive has a region of two failure domains and another region.
+func TestReadersAreTheOldestLive(t *testing.T) {
+	a, b, c := members("a", 4, detector.Alive), members("b", 3, detector.Alive), members("c", 2, detector.Alive)
+	a[0].Status, a[1].Leaving = detector.Suspect, true
+	for i := range a {
+		a[i].Region, a[i].StartIncarnation = "r", uint64(10+i)
+	}
+	for i := range b {
+		b[i].Region, b[i].StartIncarnation = "r", uint64(20-10*i)
+	}
+	for i := range c {
+		c[i].Region, c[i].StartIncarnation = "s", 1
+	}
+	tests := map[string]struct {
+		self detector.Member
+		// reads and feeds report whether the host reads the store and feeds its domain;
+		// sources are the hosts that feed it.
+		reads, feeds bool
+		sources      []string
+	}{
+		"oldest of the region":        {b[2], true, true, nil},
+		"second oldest of the region": {b[1], true, true, nil},
+		"oldest of a domain":          {a[2], false, true, []string{"b-2", "b-1"}},
+		"second oldest of a domain":   {a[3], false, true, []string{"b-2", "b-1"}},
+		"another host":                {b[0], false, false, []string{"b-2", "b-1"}},
+		"a host that is suspected":    {a[0], false, false, []string{"a-2", "a-3"}},
+		"the only domain of a region": {c[1], true, true, nil},
+	}
+	all := concat(a, b, c)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := &view{}
+			v.setReaders(all, tt.self)
+			if reads, feeds := v.readsStore(tt.self.Address), v.isReader(tt.self.Address); reads != tt.reads || feeds != tt.feeds {
+				t.Errorf("reads the store: %v, feeds the domain: %v; want %v, %v", reads, feeds, tt.reads, tt.feeds)
+			}
+			if got := v.sources(tt.self.Address); !slices.Equal(got, tt.sources) {
+				t.Errorf("fed by %v, want %v", got, tt.sources)
+			}
+		})
 	}
 }
 
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -132,7 +132,7 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.loop.sinks[s.Host] = l.deliverLocal
-	l.view.Store(&view{readers: []string{s.Address}, alone: isAlone(s)})
+	l.view.Store(&view{storeReaders: []string{s.Address}, readers: []string{s.Address}, alone: isAlone(s)})
 	if l.udpConn, err = net.ListenUDP("udp4", addr); err != nil {
 		return nil, err
 	}
