--- a/foxtailctl/commander/commander.go
+++ b/foxtailctl/commander/commander.go
@@ -66,6 +66,7 @@
 	Explain    explainCmd    `cmd:"" help:"Show where a request was dispatched, how it ended and why."`
 	Story      storyCmd      `cmd:"" help:"Show what happened to a request, from hosts' logs."`
 	Day        dayCmd        `cmd:"" help:"Summarize hosts' logs by time and reason."`
+	Terms      termsCmd      `cmd:"" help:"Show what upstreams have said of themselves, from hosts' logs."`
 	Keygen     keygenCmd     `cmd:"" help:"Create an API key and its hash for the configuration."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 	Completion completionCmd `cmd:"" help:"Print a completion script for a shell."`
--- a/foxtailctl/commander/logs.go
+++ b/foxtailctl/commander/logs.go
@@ -39,6 +39,9 @@
 	Error         string    `json:"error"`
 	Cause         string    `json:"cause"`
 	ConfigVersion uint64    `json:"version"`
+	Change        string    `json:"change"`
+	Limit         string    `json:"limit"`
+	PauseMs       int64     `json:"pauseMs"`
 }
 
 // readLogs calls handle for each log line of files, or of standard input if
