linker, platform: hosts without work wake seldom

Change: links tick while decisions are awaited; origins are shared every 50 ms only while there are records that others need, and the list of holders is made only then; hosts that nobody follows do not look for changes to send; a host that is fed looks four times a second who feeds it, five times whether it has to read the store.

--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -18,6 +18,9 @@
 	// feedInterval is the time between two checks for changes to send to
 	// followers.
 	feedInterval = 60 * time.Millisecond
+	// followInterval is the time between two checks of which hosts feed this one, once its
+	// directory is loaded. Until then it is feedInterval.
+	followInterval = 240 * time.Millisecond
 	// feedHeartbeat is the time after the last update to a follower at which a
 	// heartbeat is sent.
 	feedHeartbeat = 400 * time.Millisecond
@@ -103,7 +106,7 @@
 	return addresses
 }
 
-// feedFollowers sends changes to followers until ctx is done.
+// feedFollowers sends changes to followers until ctx is done. It waits while there are none.
 func (l *Linker) feedFollowers(ctx context.Context) {
 	tick := time.NewTicker(feedInterval)
 	defer tick.Stop()
@@ -114,6 +117,16 @@
 		case now := <-tick.C:
 			l.updateFollowers(now)
 		}
+		if len(l.listFollowers()) > 0 {
+			continue
+		}
+		tick.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.followed:
+			tick.Reset(feedInterval)
+		}
 	}
 }
 
@@ -179,14 +192,18 @@
 // followReaders subscribes to the hosts that feed this one until ctx is done, and again
 // whenever they or the links to them change.
 func (l *Linker) followReaders(ctx context.Context) {
-	tick := time.NewTicker(feedInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(feedInterval)
+	defer timer.Stop()
 	followed := make(map[string]*link)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-timer.C:
+		}
+		timer.Reset(feedInterval)
+		if l.directory.Loaded() {
+			timer.Reset(followInterval)
 		}
 		for _, address := range l.view.Load().sources(l.settings.Address) {
 			k, err := l.link(ctx, address)
--- a/foxtaild/linker/link.go
+++ b/foxtaild/linker/link.go
@@ -51,8 +51,10 @@
 	onUpdate func(*link, response)
 
 	mu sync.Mutex
-	// pending holds the admission requests that wait for a decision, by ID.
+	// pending holds the admission requests that wait for a decision, by ID. awaited
+	// receives a value when there is one after there was none.
 	pending map[uint64]chan coordinator.Decision
+	awaited chan struct{}
 	// lastReceived is when the last response arrived, or when a decision was
 	// first awaited after none was.
 	lastReceived time.Time
@@ -74,6 +76,7 @@
 		out:          make(chan frame, linkQueue),
 		log:          log,
 		pending:      make(map[uint64]chan coordinator.Decision),
+		awaited:      make(chan struct{}, 1),
 		onUpdate:     onUpdate,
 		lastReceived: time.Now(),
 		broken:       make(chan struct{}),
@@ -116,27 +119,36 @@
 }
 
 // write writes queued frames, batching those that are already queued, and
-// sends pings while decisions are awaited.
+// sends pings while decisions are awaited. While none is, it waits for frames only: a
+// host has many links, most of them idle.
 func (l *link) write() {
 	w := bufio.NewWriterSize(l.conn, linkBufferBytes)
 	enc := gob.NewEncoder(w)
-	tick := time.NewTicker(linkPingInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(linkPingInterval)
+	defer timer.Stop()
+	ticking := true
 	for {
 		var f frame
 		select {
 		case <-l.broken:
 			return
 		case f = <-l.out:
-		case now := <-tick.C:
+		case <-l.awaited:
+			if !ticking {
+				ticking = true
+				timer.Reset(linkPingInterval)
+			}
+			continue
+		case now := <-timer.C:
 			awaiting, silent := l.awaiting(now)
-			if !awaiting {
+			if ticking = awaiting; !awaiting {
 				continue
 			}
 			if silent > linkTimeout {
 				l.fail(errUnresponsive)
 				return
 			}
+			timer.Reset(linkPingInterval)
 			f = frame{Ping: true}
 		}
 		_ = l.conn.SetWriteDeadline(time.Now().Add(linkTimeout))
@@ -196,11 +208,18 @@
 func (l *link) admit(ctx context.Context, req coordinator.Request) (d coordinator.Decision, err error) {
 	ch := make(chan coordinator.Decision, 1)
 	l.mu.Lock()
-	if len(l.pending) == 0 {
+	first := len(l.pending) == 0
+	if first {
 		l.lastReceived = time.Now()
 	}
 	l.pending[req.ID] = ch
 	l.mu.Unlock()
+	if first {
+		select {
+		case l.awaited <- struct{}{}:
+		default:
+		}
+	}
 	l.send(frame{Asks: []coordinator.Request{req}})
 	select {
 	case d = <-ch:
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -77,8 +77,10 @@
 	// localPending holds those that wait for this host's own coordinator.
 	running      map[uint64]*runningRequest
 	localPending map[uint64]chan coordinator.Decision
-	// followers are the incoming links that receive directory changes.
+	// followers are the incoming links that receive directory changes, and followed
+	// receives a value when there is another one.
 	followers map[*follower]struct{}
+	followed  chan struct{}
 }
 
 // Option configures a Linker.
@@ -122,6 +124,7 @@
 		running:      make(map[uint64]*runningRequest),
 		localPending: make(map[uint64]chan coordinator.Decision),
 		followers:    make(map[*follower]struct{}),
+		followed:     make(chan struct{}, 1),
 		started:      now,
 		crashes:      noCrashReports{},
 		partCrashes:  noCrashReports{},
--- a/foxtaild/linker/origins.go
+++ b/foxtaild/linker/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	handedOver map[pinner.Key]time.Time
 	prunedAt   time.Time
 
+	// recorded receives a value when there is a record that other hosts need.
+	recorded chan struct{}
+
 	mu     sync.Mutex
 	pinner *pinner.Pinner
 	watch  originWatch
@@ -48,32 +52,51 @@
 // newOrigins returns the origins of a host that knows none yet.
 func newOrigins(l *Linker, opts ...pinner.Option) *Origins {
 	return &Origins{
-		linker: l, pinner: pinner.New(opts...), outbox: make(map[string][]queuedCopy), inquiries: make(map[uint64]*inquiry),
+		linker: l, pinner: pinner.New(opts...), outbox: make(map[string][]queuedCopy), recorded: make(chan struct{}, 1), inquiries: make(map[uint64]*inquiry),
 	}
 }
 
 // Record records the origin of a stream that this host serves. Copies are sent to other
 // hosts in the background.
 func (o *Origins) Record(s forwarder.StreamID, origin pinner.Origin, until time.Time) {
+	now := time.Now()
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.pinner.Record(s.Key, s.Route, origin, until, time.Now())
+	o.observe(now)
+	o.pinner.Record(s.Key, s.Route, origin, until, now)
+	needed := o.pinner.Shares(s.Route, now)
+	o.mu.Unlock()
+	if needed {
+		select {
+		case o.recorded <- struct{}{}:
+		default:
+		}
+	}
 }
 
-// run observes the directory and sends copies of records until ctx is done.
+// run observes the directory and sends copies of records until ctx is done: every
+// shareInterval while there are any, else every observeInterval.
 func (o *Origins) run(ctx context.Context) {
-	tick := time.NewTicker(shareInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	leaving := o.linker.leaving
+	var ranAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-leaving:
 			leaving, o.handedOver = nil, make(map[pinner.Key]time.Time)
-		case <-tick.C:
+		case <-o.recorded:
+			timer.Reset(time.Until(ranAt.Add(shareInterval)))
+			continue
+		case <-timer.C:
 		}
 		now := time.Now()
+		ranAt = now
+		timer.Reset(observeInterval)
+		if o.handedOver != nil || len(o.outbox) > 0 {
+			timer.Reset(shareInterval)
+		}
 		o.mu.Lock()
 		o.observe(now)
 		o.mu.Unlock()
@@ -94,10 +117,14 @@
 
 // share sends each host one datagram with copies at most.
 func (o *Origins) share(now time.Time) {
-	if hosts := pinnerHosts(o.linker.view.Load().members, isHolder); len(hosts) > 0 {
-		for _, c := range o.unshared(now) {
-			for _, h := range pinner.Holders(c.key, o.linker.settings.Domain, hosts) {
-				o.outbox[h.Address] = append(o.outbox[h.Address], c)
+	members := o.linker.view.Load().members
+	if slices.ContainsFunc(members, isHolder) {
+		if list := o.unshared(now); len(list) > 0 {
+			hosts := pinnerHosts(members, isHolder)
+			for _, c := range list {
+				for _, h := range pinner.Holders(c.key, o.linker.settings.Domain, hosts) {
+					o.outbox[h.Address] = append(o.outbox[h.Address], c)
+				}
 			}
 		}
 	}
--- a/foxtaild/linker/peers.go
+++ b/foxtaild/linker/peers.go
@@ -11,6 +11,9 @@
 const (
 	// summaryInterval is the time between two summaries to other coordinators.
 	summaryInterval = 150 * time.Millisecond
+	// coordinatorCheckInterval is the time between two checks whether this host has become
+	// a coordinator, which then sends summaries.
+	coordinatorCheckInterval = 300 * time.Millisecond
 	// fetchInterval is the time between two comparisons with the configuration
 	// versions and store revisions of the peers.
 	fetchInterval = 200 * time.Millisecond
@@ -24,18 +27,20 @@
 // sendSummaries sends summaries to the coordinators of other failure domains
 // while this host is a coordinator.
 func (l *Linker) sendSummaries(ctx context.Context) {
-	tick := time.NewTicker(summaryInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(summaryInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-timer.C:
 		}
 		v := l.view.Load()
 		if !v.coordinating {
+			timer.Reset(coordinatorCheckInterval)
 			continue
 		}
+		timer.Reset(summaryInterval)
 		ready := make(chan coordinator.Summary, 1)
 		l.loop.enqueue(ctx, func(now time.Time) { ready <- l.loop.coordinator.Summary(now) })
 		select {
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -95,6 +95,10 @@
 				l.followers[fol] = struct{}{}
 			}
 			l.mu.Unlock()
+			select {
+			case l.followed <- struct{}{}:
+			default:
+			}
 		}
 		l.loop.applyFrame(ctx, entry, &f)
 	}
--- a/scheduler/pinner/watch.go
+++ b/scheduler/pinner/watch.go
@@ -147,6 +147,9 @@
 	return now.Sub(p.ranAt) <= maxObservationGap && now.Sub(p.runsSince) > p.window
 }
 
+// Shares reports whether other hosts need the records of a route's streams now.
+func (p *Pinner) Shares(route string, now time.Time) bool { return !p.settled(route, now) }
+
 // settled reports whether a route has had a sole origin for so long that other hosts know
 // the same.
 func (p *Pinner) settled(route string, now time.Time) bool {
