detector, linker: the membership protocol ticks when it has something to do

Change: Detector.NextTick names the time of its next action, from pings, probes, suspicions and dead members. All tests of the detector run with it.

--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -15,8 +15,10 @@
 const (
 	// maxDatagramBytes is the maximum size of a membership message.
 	maxDatagramBytes = 8 << 10
-	// gossipTick is the time between two ticks of the membership protocol.
-	gossipTick = 60 * time.Millisecond
+	// gossipTick is the minimum time between two ticks of the membership protocol, and
+	// maxGossipTick the maximum.
+	gossipTick    = 60 * time.Millisecond
+	maxGossipTick = 300 * time.Millisecond
 	// gossipQueue bounds the queue of received messages; others are dropped.
 	gossipQueue = 256
 	// maxReportsPerMessage is the maximum number of crash reports of both kinds in a
@@ -114,8 +116,9 @@
 	go l.receiveGossip(ctx, in)
 	stop := context.AfterFunc(ctx, func() { _ = l.udpConn.Close() })
 	defer stop()
-	tick := time.NewTicker(gossipTick)
-	defer tick.Stop()
+	timer := time.NewTimer(gossipTick)
+	defer timer.Stop()
+	var tickedAt time.Time
 	leaving := l.leaving
 	var push bool
 	var pushedAt time.Time
@@ -132,21 +135,33 @@
 			push = true
 		case <-l.partCrashes.Changed():
 			push = true
-		case now := <-tick.C:
+		case now := <-timer.C:
+			tickedAt = now
 			if push && now.Sub(pushedAt) >= pushInterval {
 				push, pushedAt = false, now
 				l.sendPackets(l.detector.PingRandom(pushTargets, now), crashMessage{})
 			}
-			version := uint64(0)
-			if t := l.directory.Table(); t != nil {
-				version = t.Version()
-			}
-			at := l.directory.Position()
-			l.detector.Announce(version, at.Era, at.Revision)
+			l.announce()
 			l.sendPackets(l.detector.Tick(time.Now()), crashMessage{})
 		}
 		l.updateView(time.Now())
+		next := l.detector.NextTick()
+		if push || l.detector.Changes() != l.seenChanges || !l.wasSettled {
+			next = tickedAt
+		}
+		next = tickedAt.Add(min(max(next.Sub(tickedAt), gossipTick), maxGossipTick))
+		timer.Reset(time.Until(next))
+	}
+}
+
+// announce has the detector tell other hosts what this one has read from the store.
+func (l *Linker) announce() {
+	version := uint64(0)
+	if t := l.directory.Table(); t != nil {
+		version = t.Version()
 	}
+	at := l.directory.Position()
+	l.detector.Announce(version, at.Era, at.Revision)
 }
 
 // receive processes a received message and responds to it.
@@ -158,6 +173,7 @@
 	if received.Parts != nil {
 		l.partCrashes.Receive(*received.Parts)
 	}
+	l.announce()
 	l.sendPackets(l.detector.Receive(d.from, d.message.Message, time.Now()), received)
 }
 
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -192,6 +192,36 @@
 	return packets
 }
 
+// NextTick returns the time at which Tick has something to do next, if no message arrives
+// before.
+func (d *Detector) NextTick() time.Time {
+	next := earlier(d.nextPing, d.nextHeal)
+	for _, p := range d.probes {
+		wait := directTimeout
+		if p.indirect {
+			wait = pingInterval
+		}
+		next = earlier(next, p.sentAt.Add(wait))
+	}
+	for _, e := range d.members {
+		switch {
+		case e.Status == Suspect:
+			next = earlier(next, e.since.Add(suspicionTimeout))
+		case e.Status >= Dead:
+			next = earlier(next, e.since.Add(deadRetention))
+		}
+	}
+	return next
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // currentPingInterval returns the time until the next ping: joinInterval for
 // joinTime after the start, pingInterval after that.
 func (d *Detector) currentPingInterval() time.Duration {
