forwarder: an upstream that has left as far as the host knows is not granted again

Change: the request excludes such an upstream, as one that is paused or leaving. TestUpstreamThatHasLeftIsNotGrantedAgain: refused as not run before, served after.

--- a/foxtaild/forwarder/acceptance_test.go
+++ b/foxtaild/forwarder/acceptance_test.go
@@ -8,6 +8,7 @@
 
 	"foxtaillug.org/foxtaild/connector"
 	"foxtaillug.org/foxtaild/forwarder"
+	"foxtaillug.org/scheduler/coordinator"
 	"foxtaillug.org/scheduler/pinner"
 	"foxtaillug.org/scheduler/registrar"
 )
@@ -70,3 +71,35 @@
 		t.Errorf("the caller received %+v, want a refusal that says that the request has not run", r.refusal)
 	}
 }
+
+// TestUpstreamThatHasLeftIsNotGrantedAgain has a coordinator that does not know yet that an
+// upstream has left grant it as long as the request does not exclude it.
+func TestUpstreamThatHasLeftIsNotGrantedAgain(t *testing.T) {
+	s := newOriginFixture(t, newServer(t, okResponse("ok")), newServer(t, okResponse("ok")))
+	left, sound := s.admitter.grants[0], s.admitter.grants[1]
+	s.directory.Update(registrar.Position{Revision: 2}, func(r *registrar.Registrar) {
+		e, _ := r.Entry(left)
+		e.Leaving = true
+		r.Put(e)
+	})
+	s.Forwarder = forwarder.New(&outdatedAdmitter{&s.admitter, left, sound}, testCodec{}, connector.New(), s.directory, slog.New(slog.DiscardHandler))
+	r := &recorder{}
+	s.Serve(context.Background(), newRequest(idempotent, forwarder.NoEvent), r)
+	if got := r.outcome(); got != "200 ok" {
+		t.Errorf("the caller received %q, want the response of the other upstream", got)
+	}
+}
+
+// outdatedAdmitter grants the first upstream unless the request excludes it.
+type outdatedAdmitter struct {
+	*grantAdmitter
+	first, second string
+}
+
+func (a *outdatedAdmitter) Admit(ctx context.Context, r coordinator.Request) (forwarder.Grant, error) {
+	a.grants = []string{a.first}
+	if slices.Contains(r.Exclude, a.first) {
+		a.grants = []string{a.second}
+	}
+	return a.grantAdmitter.Admit(ctx, r)
+}
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -151,7 +151,7 @@
 func (a *attempt) send(ctx context.Context) (res attemptResult, ok bool) {
 	entry, ok := a.directory.Usable(a.grant.Upstream, time.Now())
 	if !ok {
-		return a.endUnused("upstreamLeft"), false
+		return a.endNotAccepted("upstreamLeft"), false
 	}
 	if reason, ok := a.accepts(entry); !ok {
 		return a.endNotAccepted(reason), false
@@ -175,9 +175,12 @@
 		return attemptResult{ending: coordinator.Unused, final: true}, false
 	}
 	entry, ok = a.directory.Usable(a.grant.Upstream, now)
-	if !ok || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return a.endUnused("upstreamLeft"), false
 	}
+	if !ok {
+		return a.endNotAccepted("upstreamLeft"), false
+	}
 	if reason, ok := a.accepts(entry); !ok {
 		return a.endNotAccepted(reason), false
 	}
--- a/foxtaild/forwarder/ending.go
+++ b/foxtaild/forwarder/ending.go
@@ -18,7 +18,8 @@
 }
 
 // endNotAccepted ends an attempt in which no byte was sent, as the upstream has told this host
-// to send it no requests. The coordinator that granted it may not know yet.
+// to send it no requests, or has left as far as this host knows. The coordinator that granted
+// it may not know yet and would grant it again.
 func (a *attempt) endNotAccepted(reason string) attemptResult {
 	a.exclude(a.grant.Upstream)
 	return a.endUnused(reason)
