relayer: a large request has the time that its link needs to arrive

Cause: a host that had taken an offer waited 0.4 s for the whole request with its body. 4 MB take 1.7 s on a link of 20 Mbit/s, so large requests were lost after they had been handed over.

Change: 0.4 s and the time of the body at 256 KB/s. TestLargeRequestOnASlowLinkIsServed: the connection was closed before, served after.

--- a/foxtaild/relayer/relayer_test.go
+++ b/foxtaild/relayer/relayer_test.go
@@ -554,3 +554,65 @@
 		})
 	}
 }
+
+// slowWriter writes in pieces with a pause before each.
+type slowWriter struct {
+	io.Writer
+	size  int
+	pause time.Duration
+}
+
+func (w *slowWriter) Write(b []byte) (n int, err error) {
+	for len(b) > 0 && err == nil {
+		time.Sleep(w.pause)
+		var m int
+		m, err = w.Writer.Write(b[:min(len(b), w.size)])
+		n, b = n+m, b[m:]
+	}
+	return n, err
+}
+
+// TestLargeRequestOnASlowLinkIsServed sends a request that takes longer to arrive than an
+// answer to an offer may take.
+func TestLargeRequestOnASlowLinkIsServed(t *testing.T) {
+	type offer struct {
+		Host, Pool string
+		Bytes      int
+	}
+	type handedOver struct {
+		Request forwarder.Request
+		Left    time.Duration
+	}
+	type message struct {
+		Offer   *offer
+		Request *handedOver
+	}
+	f, served := &fleet{t: t}, make(chan int, 1)
+	f.add("b", "d", "r", &server{serve: func(_ context.Context, r *forwarder.Request, _ forwarder.Responder) { served <- len(r.Body) }})
+	host, port, _ := net.SplitHostPort(f.members[0].Address)
+	n, _ := strconv.Atoi(port)
+	c, err := net.Dial("tcp4", net.JoinHostPort(host, strconv.Itoa(n+1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	body := make([]byte, 1<<20)
+	w := &slowWriter{Writer: c, size: len(body)}
+	e := gob.NewEncoder(w)
+	if err := e.Encode(message{Offer: &offer{"x", "p", len(body)}}); err != nil {
+		t.Fatal(err)
+	}
+	// Six pieces, in 0.9 s.
+	w.size, w.pause = len(body)/5, 150*time.Millisecond
+	if err := e.Encode(message{Request: &handedOver{Request: *newRequest(body), Left: testTimeout}}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case got := <-served:
+		if got != len(body) {
+			t.Errorf("a body of %d bytes was served, want %d", got, len(body))
+		}
+	case <-time.After(testTimeout):
+		t.Error("the request was not served")
+	}
+}
--- a/foxtaild/relayer/serve.go
+++ b/foxtaild/relayer/serve.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// offerTimeout bounds the time from an offer to its answer and from that to the request.
+	// offerTimeout bounds the time from an offer to its answer and from that to the request,
+	// whose body may take as long as it does at minLinkRate bytes per second besides: a tenth
+	// of the operators' slowest links.
 	offerTimeout = 400 * time.Millisecond
+	minLinkRate  = 256 << 10
 	// keepTimeout is how long an unused connection is kept at the host that took requests.
 	keepTimeout = 30 * time.Second
 	// writeMargin is how long after the deadline of its request a response may be written.
@@ -82,7 +85,7 @@
 	if err := enc.Encode(&reply{Answer: a}); err != nil || a != taken {
 		return err == nil
 	}
-	m, ok := next(ctx, messages, offerTimeout)
+	m, ok := next(ctx, messages, offerTimeout+time.Duration(o.Bytes)*time.Second/minLinkRate)
 	if !ok || m.Request == nil || len(m.Request.Request.Body) != o.Bytes || m.Request.Request.Route == nil {
 		r.log.Info("request of another host did not follow its offer", "host", o.Host)
 		return false
