--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -357,7 +357,8 @@
 				return nil, err
 			}
 		}
-		n, err := body.Read(b[len(b):cap(b)])
+		// The buffer may be larger than the limit, of which no more than a byte beyond is read.
+		n, err := body.Read(b[len(b):min(cap(b), a.maxResponseBytes+1)])
 		b = b[:len(b)+n]
 		switch {
 		case len(b) > a.maxResponseBytes:
