coordinator, platform: optional parts are selected by the deployment's contracts

Cause: parts that adapt to uneven upstreams and competing workspaces must not change deployments that do not call for them. The memory of engines is decoded into router.Pool.Memory; the configuration digest leaves it out, so that hosts of both builds agree on it. Result: no part reads a feature yet, so decisions are the same.

--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -34,6 +34,8 @@
 	// effect on every host.
 	UpdateDeadline time.Duration
 	Bounds         coordinator.Bounds
+	// Features are the optional parts of this host's coordinator.
+	Features coordinator.Features
 }
 
 // Linker connects a host to its fleet. It is safe for concurrent use.
@@ -113,7 +115,7 @@
 		settings:  s,
 		directory: d,
 		log:       log,
-		loop:      newLoop(s.Host, coordinator.New(s.Process, s.Bounds), d, log),
+		loop:      newLoop(s.Host, coordinator.New(s.Process, s.Bounds, coordinator.WithFeatures(s.Features)), d, log),
 		detector: detector.New(detector.Member{
 			ID: s.Host, Address: s.Address, Domain: s.Domain, Region: s.Region,
 			Incarnation: uint64(now.UnixMilli()),
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -97,6 +97,7 @@
 type Coordinator struct {
 	process   string
 	bounds    Bounds
+	features  Features
 	fleet     Fleet
 	table     *router.Table
 	upstreams map[string]*upstream
@@ -125,8 +126,8 @@
 
 // New returns a coordinator without upstreams. The process name identifies it
 // in summaries.
-func New(process string, b Bounds) *Coordinator {
-	return &Coordinator{
+func New(process string, b Bounds, opts ...Option) *Coordinator {
+	c := &Coordinator{
 		process:     process,
 		bounds:      b,
 		upstreams:   make(map[string]*upstream),
@@ -140,6 +141,10 @@
 		order:       bySlack,
 		rejectEarly: true,
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // SetTable applies a new configuration.
--- a/scheduler/router/document.go
+++ b/scheduler/router/document.go
@@ -76,6 +76,10 @@
 	ColdRate float64
 	// Stride is the number of tokens in one event of a stream.
 	Stride int
+	// Memory is the number of tokens that an upstream holds in memory, 0 if it is not
+	// known. The digest leaves it out, because hosts of a build without it must get the
+	// same digest.
+	Memory int `json:"-"`
 	// HealthPath is the path of the upstreams' health checks, "" if they have none.
 	HealthPath string
 }
