linker: slots of a host that has lost power are released

A host without power neither closes its link nor reports the ends of its requests, so its coordinator counts their slots as taken until their deadlines, 4 to 13 s. When the host is back, its new link is registered beside the old one, which stays. Change: a coordinator closes the links of hosts that the membership has found dead, and the earlier link of a host that dials again. A host that is alive all the same dials again and reports what it runs.

--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -88,6 +88,7 @@
 	v := l.deriveView()
 	l.view.Store(v)
 	l.reportLimits(old, v)
+	l.closeLinksOfDead(v.members)
 	if old.coordinating != v.coordinating || old.hosts != v.hosts || !maps.Equal(old.coordinators, v.coordinators) {
 		l.log.Info("view of the fleet", "hosts", v.hosts, "coordinator", v.coordinating, "coordinators", v.coordinators)
 	}
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -83,6 +83,8 @@
 	// receives a value when there is another one.
 	followers map[*follower]struct{}
 	followed  chan struct{}
+	// incoming holds the links that other hosts dialled, by the host's name.
+	incoming map[string][]*incoming
 }
 
 // Option configures a Linker.
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -58,11 +58,11 @@
 		defer l.mu.Unlock()
 		delete(l.followers, f)
 	}()
-	l.readFrames(ctx, conn, f, push)
+	l.readFrames(ctx, conn, f, push, cancel)
 }
 
-// readFrames handles the frames of one link until it ends.
-func (l *Linker) readFrames(ctx context.Context, conn net.Conn, fol *follower, push func(response)) {
+// readFrames handles the frames of one link until it ends; cancel ends it.
+func (l *Linker) readFrames(ctx context.Context, conn net.Conn, fol *follower, push func(response), cancel func()) {
 	dec := gob.NewDecoder(bufio.NewReader(conn))
 	entry := ""
 	for {
@@ -72,6 +72,9 @@
 		}
 		if f.Hello != nil {
 			entry = f.Hello.Entry + "#" + formatUint(linkSeq.Add(1))
+			k := &incoming{cancel: cancel}
+			l.registerIncoming(f.Hello.Entry, k)
+			defer l.forgetIncoming(f.Hello.Entry, k)
 			l.loop.open(ctx, entry, push, f.Hello)
 		}
 		if entry == "" {
