sharer, coordinator: work of a pool is shared among the workspaces of a tier

Cause: the queue knows tiers and priorities, not whose request it is.

Change (feature FairShares): scheduler/sharer keeps decaying sums of the work asked and served by workspace for each pool and tier, and computes the max-min level. Requests over the share of their workspace rank behind all others of their tier, in the queue and in the forecast. The sums are compared by priority, so a workspace over its share loses its least urgent requests first. Coordinators exchange totals in Summary.Shares; a new one charges the running requests that entry hosts report. Standalone coordinators can keep to a set of workspaces over their share. Ranks without the feature are as before.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"foxtaillug.org/scheduler/observer"
 	"foxtaillug.org/scheduler/registrar"
 	"foxtaillug.org/scheduler/router"
+	"foxtaillug.org/scheduler/sharer"
 )
 
 const (
@@ -74,6 +75,8 @@
 	// started is set after the first event, observed after the time to it was
 	// passed to the estimator.
 	started, observed bool
+	// charge is what was charged to its workspace's share.
+	charge sharer.Charge
 }
 
 // markStarted records that the first event has arrived, so the prompt no longer
@@ -114,6 +117,8 @@
 	tookOverAt time.Time
 	// peers holds the other coordinators by failure domain.
 	peers map[string]peer
+	// shares divides work among workspaces if FairShares is on.
+	shares shares
 	// decisions are those not yet returned by Advance.
 	decisions []Decision
 	// order compares queued requests; the lowest is served first.
@@ -264,7 +269,9 @@
 		if u == nil || c.grants[key{entry, r.ID}] != nil {
 			continue
 		}
-		c.addGrant(key{entry, r.ID}, Request{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Left: r.Left}, u, now).markStarted()
+		g := c.addGrant(key{entry, r.ID}, Request{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Left: r.Left}, u, now)
+		g.markStarted()
+		c.adoptCharge(r, g, now)
 	}
 }
 
@@ -331,6 +338,7 @@
 	responded := g.started || f.FirstToken > 0
 	c.release(k, g)
 	c.recordFinish(entry, g, f, responded, now)
+	g.settle(f, now)
 	if f.Ending == Complete || f.Ending == Failed || f.Ending == Cancelled {
 		c.pool(g.req.Pool, now).forecaster.recordHold(now.Sub(g.at))
 	}
--- a/scheduler/coordinator/features.go
+++ b/scheduler/coordinator/features.go
@@ -24,5 +24,10 @@
 
 // WithFeatures enables optional parts.
 func WithFeatures(f Features) Option {
-	return func(c *Coordinator) { c.features = f }
+	return func(c *Coordinator) {
+		c.features = f
+		if f.FairShares {
+			c.order = byShare
+		}
+	}
 }
--- a/scheduler/coordinator/forecast.go
+++ b/scheduler/coordinator/forecast.go
@@ -31,19 +31,30 @@
 	retryJitter = 0.4
 )
 
-// rank combines a request's tier and priority: no request gets a slot before
-// one of a higher rank that could take it. 0 is the highest.
+// rank combines a request's tier, whether its workspace is over its share, and its
+// priority: no request gets a slot before one of a higher rank that could take it. 0 is
+// the highest.
 type rank int
 
-// maxRank is the lowest rank; requests that would rank below it share it.
-const maxRank = 31
+const (
+	// maxOrder is the lowest order by tier and priority; requests that would be ordered
+	// below it share it.
+	maxOrder = 31
+	// maxRank is the lowest rank.
+	maxRank = 2*maxOrder + 1
+)
 
 // priorityLevels is the number of distinct priorities within a tier.
 const priorityLevels = 8
 
-// rankOf returns the rank of an admission request.
-func rankOf(r Request) rank {
-	return rank(min(max(r.Tier, 0)*priorityLevels+min(max(r.Priority, 0), priorityLevels-1), maxRank))
+// rank returns the rank of a queued request.
+func (w *waiter) rank() rank {
+	order := min(max(w.Tier, 0)*priorityLevels+min(max(w.Priority, 0), priorityLevels-1), maxOrder)
+	tier, priority := order/priorityLevels, order%priorityLevels
+	if w.share.over {
+		priority += priorityLevels
+	}
+	return rank(2*tier*priorityLevels + priority)
 }
 
 // rate is an exponentially decaying average of events per second.
@@ -146,18 +157,18 @@
 // w, are ahead of w.
 func (b *backlog) position(w *waiter) int {
 	if w.late {
-		return b.late[rankOf(w.Request)]
+		return b.late[w.rank()]
 	}
-	return b.inTime[rankOf(w.Request)]
+	return b.inTime[w.rank()]
 }
 
 // add counts a queued request.
 func (b *backlog) add(w *waiter) {
 	if w.late {
-		b.late[rankOf(w.Request)]++
+		b.late[w.rank()]++
 		return
 	}
-	b.inTime[rankOf(w.Request)]++
+	b.inTime[w.rank()]++
 }
 
 // rejectEarly reports whether a request that waits for a slot for d is not expected
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -48,6 +48,7 @@
 	// lastSweep is the time at which the request was last checked for
 	// redirection or refusal.
 	lastSweep time.Time
+	share     claim
 }
 
 // age returns the time since the caller first sent the request.
@@ -90,11 +91,13 @@
 		c.decide(entry, Decision{ID: r.ID, Reason: reason, RetryAfter: after})
 		return
 	}
-	p.forecaster.recordArrival(rankOf(r), now)
-	p.waiting = append(p.waiting, &waiter{
+	w := &waiter{
 		Request: r, entry: entry, queuedAt: now,
 		sendBy: now.Add(r.Objective - r.Age - c.minFirstTokenTime(p, r, now)),
-	})
+	}
+	c.ask(w, now)
+	p.forecaster.recordArrival(w.rank(), now)
+	p.waiting = append(p.waiting, w)
 }
 
 // checkLimits checks a request against the maximum length of the queue, then
@@ -178,6 +181,7 @@
 	}
 	if now.Sub(p.lastSweep) >= sweepInterval {
 		p.lastSweep, from = now, 0
+		c.refreshShares(p, now)
 	}
 	c.sweep(p, from, now)
 }
@@ -219,6 +223,7 @@
 		u.limitedAt = now
 		g.limited = true
 	}
+	c.charge(w, g, now)
 	c.decide(w.entry, Decision{ID: w.ID, Upstream: u.ID})
 }
 
@@ -327,7 +332,7 @@
 		if w.Version != "" {
 			reject, after = c.rejectBound(p, w, fc, position, now)
 		} else {
-			reject, after = w.rejectEarly(fc.wait(rankOf(w.Request), w.late, position), now)
+			reject, after = w.rejectEarly(fc.wait(w.rank(), w.late, position), now)
 			wait := max(fc.limitWait, paused)
 			if !reject && wait > w.remainingWait(now) {
 				reject, after = true, w.retryAfter(wait, now)
--- a/scheduler/coordinator/summary.go
+++ b/scheduler/coordinator/summary.go
@@ -39,6 +39,7 @@
 // RecordSummary processes the summary of another coordinator.
 func (c *Coordinator) RecordSummary(s Summary, now time.Time) {
 	c.peers[s.Domain] = peer{summary: s, at: now, redirected: make(map[target]int)}
+	c.recordShares(s, now)
 	for name, used := range s.Used {
 		if q := c.quotas[name]; q != nil {
 			q.RecordUsage(s.Domain, s.Process, used, now)
@@ -66,6 +67,7 @@
 			s.Used[name] = used
 		}
 	}
+	s.Shares = c.reportShares(now)
 	return s
 }
 
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -150,6 +150,10 @@
 	Output   int
 	// Left is the time until the request's deadline.
 	Left time.Duration
+	// Workspace, Tier and Priority are those of the admission request. An earlier build
+	// leaves them out: an empty Workspace means unknown.
+	Workspace      string
+	Tier, Priority int
 }
 
 // Summary is the state that coordinators send each other several times a
@@ -166,6 +170,9 @@
 	// Used is the usage admitted for each workspace since the process started,
 	// in tokens.
 	Used map[string]float64
+	// Shares is the work of the busiest workspaces by pool and tier. An earlier build
+	// leaves it out: it is then unknown, not 0.
+	Shares []Share
 }
 
 // Load is the load of a pool.
--- a/scheduler/coordinator/version.go
+++ b/scheduler/coordinator/version.go
@@ -80,7 +80,7 @@
 	if !fc.valid || q == nil || slots == 0 {
 		return 0
 	}
-	r := rankOf(w.Request)
+	r := w.rank()
 	ahead := position
 	if r > 0 {
 		ahead += q.through(r - 1)
