coordinator, linker: requests go to other failure domains by forecast

Cause: a domain with slow upstreams keeps its excess while a fast one could serve it in time; domains whose slots are all in use get nothing, and several coordinators use the same free slot. Change: with the feature Overflow, redirectTarget decides by balancer.Choose. Summary.Rooms tells work rate, queued and running work, free slots and waits; an earlier build ignores it and is compared by free slots. Version-bound requests follow the rule before. Metrics pool_work_rate and pool_overflow_sent.

--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -208,6 +208,8 @@
 			gauges = append(gauges, reporter.Gauge{Name: name, Tags: map[string]string{"pool": p.Pool}, Value: float64(n)})
 		}
 		gauges = append(gauges,
+			reporter.Gauge{Name: "pool_work_rate", Tags: map[string]string{"pool": p.Pool}, Value: p.WorkRate},
+			reporter.Gauge{Name: "pool_overflow_sent", Tags: map[string]string{"pool": p.Pool}, Value: float64(p.OverflowSent)},
 			reporter.Gauge{Name: "pool_limit_rate", Tags: map[string]string{"pool": p.Pool}, Value: p.LimitRate},
 			reporter.Gauge{Name: "pool_limit_age_seconds", Tags: map[string]string{"pool": p.Pool}, Value: p.LimitAge.Seconds()})
 	}
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -114,6 +114,8 @@
 	tookOverAt time.Time
 	// peers holds the other coordinators by failure domain.
 	peers map[string]peer
+	// overflow is what is known for redirecting requests by forecast.
+	overflow overflow
 	// decisions are those not yet returned by Advance.
 	decisions []Decision
 	// order compares queued requests; the lowest is served first.
@@ -316,6 +318,7 @@
 				l.Pausing++
 			}
 		}
+		c.addOverflowLoad(p, &l, now)
 		loads = append(loads, l)
 	}
 	return loads
@@ -328,6 +331,7 @@
 	if g == nil {
 		return
 	}
+	c.learnEnd(g, f, g.started, now)
 	responded := g.started || f.FirstToken > 0
 	c.release(k, g)
 	c.recordFinish(entry, g, f, responded, now)
@@ -351,6 +355,7 @@
 // Progress records the first event of a granted request.
 func (c *Coordinator) Progress(entry string, p Progress, now time.Time) {
 	if g := c.grants[key{entry, p.ID}]; g != nil && !g.started {
+		c.learnFirst(g, p.FirstToken, now)
 		g.markStarted()
 		c.recordResponse(entry, g.upstream, g.at, now)
 		if g.onlyPrompt {
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foxtaillug.org/scheduler/balancer"
 	"foxtaillug.org/scheduler/estimator"
 	"foxtaillug.org/scheduler/limiter"
 	"foxtaillug.org/scheduler/registrar"
@@ -60,6 +61,8 @@
 	ejectedBy, doubted []string
 	// doubtedAt is the time of the last such failure, respondedAt that of the last response.
 	doubtedAt, respondedAt time.Time
+	// capacity is the work that a slot does per second.
+	capacity balancer.Speed
 	// pendingPrompt is the number of prompt tokens that are not yet processed.
 	pendingPrompt int
 }
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -75,6 +75,8 @@
 	// open holds, by upstream, the fraction of the queued requests whose entry hosts it has
 	// not told to pause, as of the last sweep; it is nil if it has told none.
 	open map[string]float64
+	// overflow is what is known for redirecting requests by forecast.
+	overflow poolOverflow
 	// round counts the calls of serve, lastSweep is the time at which the whole
 	// queue was last checked.
 	round     uint64
@@ -91,6 +93,7 @@
 		return
 	}
 	p.forecaster.recordArrival(rankOf(r), now)
+	c.recordArrivingWork(p, r, now)
 	p.waiting = append(p.waiting, &waiter{
 		Request: r, entry: entry, queuedAt: now,
 		sendBy: now.Add(r.Objective - r.Age - c.minFirstTokenTime(p, r, now)),
@@ -368,6 +371,9 @@
 	if r.Redirected || c.fleet.Standalone {
 		return ""
 	}
+	if c.features.Overflow && r.Version == "" {
+		return c.overflowTarget(p, w, now)
+	}
 	least := 1
 	if !c.canServe(p, w.entry, r, now) {
 		least = math.MinInt
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -1,6 +1,10 @@
 package coordinator
 
-import "time"
+import (
+	"time"
+
+	"foxtaillug.org/scheduler/balancer"
+)
 
 // Request is an admission request for one slot on an upstream of a pool. It is
 // also sent between hosts; all times are durations, because the clocks of the
@@ -166,6 +170,9 @@
 	// Used is the usage admitted for each workspace since the process started,
 	// in tokens.
 	Used map[string]float64
+	// Rooms is the capacity of each pool and how much of it is taken. It is nil if the
+	// coordinator is of an earlier build or does not use them.
+	Rooms map[string]balancer.Room
 }
 
 // Load is the load of a pool.
@@ -190,4 +197,9 @@
 	Limited, LimitSpent int
 	LimitRate           float64
 	LimitAge            time.Duration
+	// WorkRate is the work that the upstreams do per second with all slots in use, in
+	// seconds on a typical upstream, and OverflowSent counts the requests that were
+	// redirected by forecast.
+	WorkRate     float64
+	OverflowSent int
 }
