--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -119,6 +119,8 @@
 	peers map[string]peer
 	// shares divides work among workspaces if FairShares is on.
 	shares shares
+	// overflow is what is known for redirecting requests by forecast.
+	overflow overflow
 	// decisions are those not yet returned by Advance.
 	decisions []Decision
 	// order compares queued requests; the lowest is served first.
@@ -323,6 +325,7 @@
 				l.Pausing++
 			}
 		}
+		c.addOverflowLoad(p, &l, now)
 		loads = append(loads, l)
 	}
 	return loads
@@ -335,6 +338,7 @@
 	if g == nil {
 		return
 	}
+	c.learnEnd(g, f, g.started, now)
 	responded := g.started || f.FirstToken > 0
 	c.release(k, g)
 	c.recordFinish(entry, g, f, responded, now)
@@ -359,6 +363,7 @@
 // Progress records the first event of a granted request.
 func (c *Coordinator) Progress(entry string, p Progress, now time.Time) {
 	if g := c.grants[key{entry, p.ID}]; g != nil && !g.started {
+		c.learnFirst(g, p.FirstToken, now)
 		g.markStarted()
 		c.recordResponse(entry, g.upstream, g.at, now)
 		if g.onlyPrompt {
--- a/scheduler/coordinator/share_trial_test.go
+++ b/scheduler/coordinator/share_trial_test.go
@@ -34,8 +34,8 @@
 	return list
 }
 
-// tally counts the requests of one kind in a trial and their work, in slot seconds.
-type tally struct {
+// trialCount counts the requests of one kind in a trial and their work, in slot seconds.
+type trialCount struct {
 	asked, served         int
 	askedWork, servedWork float64
 }
@@ -60,7 +60,7 @@
 	running map[uint64]runningTrial
 	ends    []uint64
 	// counts are by index of the demand.
-	counts []tally
+	counts []trialCount
 	// idle is the number of steps in which a slot was free while a request waited.
 	idle int
 }
@@ -116,7 +116,7 @@
 func (s *shareTrial) run() {
 	rnd := rand.New(rand.NewPCG(s.seed, 11))
 	s.cs = make([]*coordinator.Coordinator, s.domains)
-	s.running, s.counts = map[uint64]runningTrial{}, make([]tally, len(s.demands))
+	s.running, s.counts = map[uint64]runningTrial{}, make([]trialCount, len(s.demands))
 	for d := range s.domains {
 		s.replace(d, 0, start)
 	}
