coordinator: bound requests that are redirected count as sent

Cause: after three bound requests had gone to a domain with five free slots, four others followed before its next summary, as only those redirected by forecast were counted. Change: redirectTarget counts what it redirects by the rule before, in work and in bytes. Tests that decisions are deterministic, that every request ends once and that none is redirected twice.

--- a/scheduler/coordinator/overflow.go
+++ b/scheduler/coordinator/overflow.go
@@ -252,8 +252,22 @@
 		}
 		return ""
 	}
+	best := c.peers[domain]
+	best.countRedirect(target{pool: p.Name})
+	c.recordSent(p, domain, w.Request, now)
+	return domain
+}
+
+// recordSent counts a request that is redirected to another failure domain.
+func (c *Coordinator) recordSent(p *pool, domain string, r Request, now time.Time) {
+	if !c.features.Overflow {
+		return
+	}
+	o := &p.overflow
+	_, work := balancer.Work(r.Prompt, r.Output)
 	if c.isFar(domain) {
-		c.overflow.link.Spend(x.Bytes, now)
+		c.setLinkRate(now)
+		c.overflow.link.Spend(balancer.Bytes(r.Prompt, r.Output), now)
 	}
 	if o.sent == nil {
 		o.sent = make(map[string][]sentRequest)
@@ -266,10 +280,7 @@
 			o.peers[i].SentWork += work
 		}
 	}
-	o.addArriving(r, -work.Seconds(), now)
-	best := c.peers[domain]
-	best.countRedirect(target{pool: p.Name})
-	return domain
+	o.addArriving(rankOf(r), -work.Seconds(), now)
 }
 
 // candidates returns the failure domains that may serve a request.
--- a/scheduler/coordinator/overflow_rules_test.go
+++ b/scheduler/coordinator/overflow_rules_test.go
@@ -94,6 +94,32 @@
 	}
 }
 
+// TestBoundRedirectsUseRoom guards against free slots that are used twice: by requests that are
+// bound to a version and by others that follow before the next summary.
+func TestBoundRedirectsUseRoom(t *testing.T) {
+	c := newOverflowing("d")
+	c.RecordSummary(summaryOf("near", 5, 0), start)
+	id := uint64(0)
+	redirected := func(n int, version string) (got int) {
+		for range n {
+			id++
+			c.Admit("entry", coordinator.Request{ID: id, Pool: "engines", Prompt: 100, Output: 10, Version: version, Objective: time.Second, Left: 5 * time.Second}, start)
+		}
+		for _, d := range c.Advance(start) {
+			if d.Domain == "near" {
+				got++
+			}
+		}
+		return got
+	}
+	if got := redirected(3, "v2"); got != 3 {
+		t.Fatalf("%d bound requests redirected, want 3", got)
+	}
+	if got := redirected(4, ""); got != 2 {
+		t.Errorf("%d other requests redirected, want 2, the slots left of 5", got)
+	}
+}
+
 // TestSummaryTellsRooms checks what the others are told: speeds as learned, cold upstreams
 // for no more than they may get, and nothing without the feature.
 func TestSummaryTellsRooms(t *testing.T) {
--- a/scheduler/coordinator/overflow_test.go
+++ b/scheduler/coordinator/overflow_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -37,6 +38,9 @@
 				off := runFleet(load, seed, 15*time.Second)
 				load.overflow = true
 				on := runFleet(load, seed, 15*time.Second)
+				if x := on.total(); on.redirectedTwice > 0 || x.inTime+x.late+x.refused != x.submitted {
+					t.Errorf("seed %d: %d requests redirected twice; %+v ended", seed, on.redirectedTwice, x)
+				}
 				before, after = before.plus(off.total()), after.plus(on.total())
 				spreadBefore += off.spread() / 4
 				spreadAfter += on.spread() / 4
@@ -61,6 +65,21 @@
 	}
 }
 
+// TestOverflowIsDeterministic guards against decisions that depend on the order of a map.
+func TestOverflowIsDeterministic(t *testing.T) {
+	for name, load := range map[string]fleetLoad{"uneven": uneven["all are overloaded"], "crowd": crowd(true)} {
+		t.Run(name, func(t *testing.T) {
+			load.overflow = true
+			first, second := runFleet(load, 9, 5*time.Second), runFleet(load, 9, 5*time.Second)
+			for name, d := range first.domains {
+				if len(d.sent) == 0 && name == "a" || !slices.Equal(d.sent, second.domains[name].sent) || d.tally != second.domains[name].tally {
+					t.Errorf("domain %s: two runs differ or redirect nothing: %d and %d redirects", name, len(d.sent), len(second.domains[name].sent))
+				}
+			}
+		})
+	}
+}
+
 // crowd returns a load in which five domains have too much from 2 s to 6 s and a sixth has
 // nothing of its own.
 func crowd(overflow bool) fleetLoad {
@@ -210,14 +229,16 @@
 // TestOverflowBesideAnEarlierBuild guards against a coordinator without rooms being left out,
 // or being flooded, by those that have them.
 func TestOverflowBesideAnEarlierBuild(t *testing.T) {
+	var before tally
+	for seed := range uint64(4) {
+		before = before.plus(runFleet(uneven["demand moves"], seed, 15*time.Second).total())
+	}
 	for _, earlier := range []string{"a", "b", "c"} {
 		t.Run(earlier, func(t *testing.T) {
-			var before, after tally
+			var after tally
 			from, to := 0, 0
 			for seed := range uint64(4) {
 				load := uneven["demand moves"]
-				load.overflow = false
-				before = before.plus(runFleet(load, seed, 15*time.Second).total())
 				load.overflow = true
 				load.sites = map[string]site{"a": load.sites["a"], "b": load.sites["b"], "c": load.sites["c"]}
 				x := load.sites[earlier]
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -398,6 +398,7 @@
 	if domain != "" {
 		best := c.peers[domain]
 		best.countRedirect(t)
+		c.recordSent(p, domain, r, now)
 	}
 	return domain
 }
