--- a/scheduler/coordinator/overflow.go
+++ b/scheduler/coordinator/overflow.go
@@ -254,20 +254,20 @@
 	}
 	best := c.peers[domain]
 	best.countRedirect(target{pool: p.Name})
-	c.recordSent(p, domain, w.Request, now)
+	c.recordSent(p, domain, w, now)
 	return domain
 }
 
 // recordSent counts a request that is redirected to another failure domain.
-func (c *Coordinator) recordSent(p *pool, domain string, r Request, now time.Time) {
+func (c *Coordinator) recordSent(p *pool, domain string, w *waiter, now time.Time) {
 	if !c.features.Overflow {
 		return
 	}
 	o := &p.overflow
-	_, work := balancer.Work(r.Prompt, r.Output)
+	_, work := balancer.Work(w.Prompt, w.Output)
 	if c.isFar(domain) {
 		c.setLinkRate(now)
-		c.overflow.link.Spend(balancer.Bytes(r.Prompt, r.Output), now)
+		c.overflow.link.Spend(balancer.Bytes(w.Prompt, w.Output), now)
 	}
 	if o.sent == nil {
 		o.sent = make(map[string][]sentRequest)
@@ -280,7 +280,7 @@
 			o.peers[i].SentWork += work
 		}
 	}
-	o.addArriving(rankOf(r), -work.Seconds(), now)
+	o.addArriving(w.rank(), -work.Seconds(), now)
 }
 
 // candidates returns the failure domains that may serve a request.
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -403,7 +403,7 @@
 	if domain != "" {
 		best := c.peers[domain]
 		best.countRedirect(t)
-		c.recordSent(p, domain, r, now)
+		c.recordSent(p, domain, w, now)
 	}
 	return domain
 }
