coordinator: outlier ejection behind Features.Ejection

Cause: place avoids failing upstreams, but in the fault the failing one has the only free slot. Change: ends of requests are evidence for package ejector, what is out is neither granted nor counted as room, trials take the least urgent queued request that may be retried, Summary.Ejected and RecordEjected pass verdicts on. Without the feature nothing changes.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -114,6 +114,8 @@
 	tookOverAt time.Time
 	// peers holds the other coordinators by failure domain.
 	peers map[string]peer
+	// outliers is the state of outlier ejection.
+	outliers outliers
 	// decisions are those not yet returned by Advance.
 	decisions []Decision
 	// order compares queued requests; the lowest is served first.
@@ -253,6 +255,7 @@
 	}
 	for _, p := range c.pools {
 		slices.SortFunc(p.members, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+		c.assignRecords(p, now)
 	}
 }
 
@@ -287,7 +290,7 @@
 	loads := make([]Load, 0, len(c.pools))
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
 		p := c.pools[name]
-		l := Load{Pool: name, Waiting: len(p.waiting)}
+		l := Load{Pool: name, Waiting: len(p.waiting), Out: c.outliers.out(name)}
 		for _, u := range p.members {
 			if u.leaving {
 				l.Leaving++
@@ -353,6 +356,7 @@
 	if g := c.grants[key{entry, p.ID}]; g != nil && !g.started {
 		g.markStarted()
 		c.recordResponse(entry, g.upstream, g.at, now)
+		c.recordAnswer(g, now)
 		if g.onlyPrompt {
 			g.observed = true
 			g.upstream.speed.ObserveFirstToken(g.req.Prompt, p.FirstToken)
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"foxtaillug.org/scheduler/ejector"
 	"foxtaillug.org/scheduler/estimator"
 	"foxtaillug.org/scheduler/limiter"
 	"foxtaillug.org/scheduler/registrar"
@@ -62,6 +63,8 @@
 	doubtedAt, respondedAt time.Time
 	// pendingPrompt is the number of prompt tokens that are not yet processed.
 	pendingPrompt int
+	// record is the evidence of failed requests; nil if there is no outlier ejection.
+	record *ejector.Record
 }
 
 // newUpstream returns the state of an upstream that runs no requests.
@@ -116,7 +119,7 @@
 // eligible reports whether the upstream may receive new requests, regardless of
 // free slots.
 func (u *upstream) eligible(now time.Time) bool {
-	return u.inService() && !now.Before(u.ejection.until)
+	return u.inService() && !now.Before(u.ejection.until) && !u.isOut()
 }
 
 // inService reports whether the upstream may receive new requests now or later.
@@ -254,6 +257,7 @@
 			u.ejection.until = until
 		}
 	}
+	c.recordEvidence(name, g, f, responded, now)
 }
 
 // observeSpeed passes the times of a completed request to the estimator.
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -154,6 +154,7 @@
 func (c *Coordinator) serve(p *pool, now time.Time) {
 	p.round++
 	p.full, p.unreached = p.full[:0], p.unreached[:0]
+	c.serveTrials(p, now)
 	for len(p.waiting) > 0 && c.anyCanAccept(p, now) {
 		i := c.next(p, now)
 		if i < 0 {
--- a/scheduler/coordinator/summary.go
+++ b/scheduler/coordinator/summary.go
@@ -39,6 +39,7 @@
 // RecordSummary processes the summary of another coordinator.
 func (c *Coordinator) RecordSummary(s Summary, now time.Time) {
 	c.peers[s.Domain] = peer{summary: s, at: now, redirected: make(map[target]int)}
+	c.RecordEjected(s.Ejected, now)
 	for name, used := range s.Used {
 		if q := c.quotas[name]; q != nil {
 			q.RecordUsage(s.Domain, s.Process, used, now)
@@ -50,7 +51,7 @@
 func (c *Coordinator) Summary(now time.Time) Summary {
 	s := Summary{
 		Process: c.process, Domain: c.fleet.Domain,
-		Free: make(map[string]int), FreeByVersion: make(map[string]map[string]int), Used: make(map[string]float64),
+		Free: make(map[string]int), FreeByVersion: make(map[string]map[string]int), Used: make(map[string]float64), Ejected: c.Ejected(),
 	}
 	for name, p := range c.pools {
 		free, byVersion, serves := c.free(p, now)
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -40,6 +40,12 @@
 	// Digest identifies the request's content for owners that quarantine requests,
 	// Prefix the start of its prompt; 0 means none.
 	Digest, Prefix uint64
+	// Content is a short hash of the request's content that tells requests apart which an
+	// upstream has failed; 0 means that it is not known.
+	Content uint16
+	// Retryable reports whether the request may be sent to a second upstream after it may have
+	// run on a first.
+	Retryable bool
 	// Redirected marks a request that another coordinator has already checked
 	// against the limits and redirected; it is not redirected again.
 	Redirected bool
@@ -166,6 +172,9 @@
 	// Used is the usage admitted for each workspace since the process started,
 	// in tokens.
 	Used map[string]float64
+	// Ejected lists the upstreams that are out of service for their failures. It is valid for
+	// 2 s, as a hint for hosts that take over their failure domain.
+	Ejected []string
 }
 
 // Load is the load of a pool.
@@ -178,6 +187,8 @@
 	// Leaving counts the upstreams that have said that their process ends soon; the other
 	// numbers leave them out.
 	Leaving int
+	// Out counts the upstreams that are out of service for their failures.
+	Out int
 	// Pausing counts the upstreams that want no requests of some host for a while.
 	Pausing int
 	// Slots is the total number of slots, Running the number of running
--- a/scheduler/coordinator/version.go
+++ b/scheduler/coordinator/version.go
@@ -124,7 +124,7 @@
 // timeUntilReady returns the time until the upstream is not ejected and its limit and, if
 // it is cold, its rate admit a request.
 func (u *upstream) timeUntilReady(now time.Time) time.Duration {
-	d := max(0, u.ejection.until.Sub(now))
+	d := max(0, u.ejection.until.Sub(now), u.timeUntilTrial(now))
 	if u.cold != nil && u.isCold(now) {
 		warm := max(u.ColdUntil.Sub(now), u.coldUntil.Sub(now))
 		d = max(d, u.cold.TimeUntil(1, warm, now))
