linker, forwarder: evidence and verdicts of outlier ejection

Cause: coordinators get no digest, don't know which requests may be retried, and hosts that decide alone don't know which upstreams their coordinator has ejected.

--- a/foxtaild/forwarder/admission.go
+++ b/foxtaild/forwarder/admission.go
@@ -52,5 +52,6 @@
 		Age: r.Age + now.Sub(r.Arrived), Objective: r.Route.Objective, Left: r.Deadline.Sub(now), Waited: h.waited,
 		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output,
 		Repeat: h.dispatched > 0, Exclude: slices.Concat(h.tried, h.excluded), Version: version, Regions: r.Regions, Digest: r.Digest, Prefix: r.Prefix,
+		Retryable: r.Route.Retryable(),
 	}
 }
--- a/foxtaild/linker/admitter.go
+++ b/foxtaild/linker/admitter.go
@@ -102,6 +102,7 @@
 // host's failure domain or from the coordinator it redirects to. If neither
 // responds, this host's own coordinator decides.
 func (l *Linker) Admit(ctx context.Context, req coordinator.Request) (g forwarder.Grant, err error) {
+	req = l.describe(req)
 	// Coordinators don't quarantine requests.
 	req.ID, req.Digest = l.seq.Add(1), 0
 	v := l.view.Load()
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -201,7 +201,7 @@
 	gauges = append(gauges, l.origins.gauges()...)
 	for _, p := range l.loop.loads() {
 		for name, n := range map[string]int{
-			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected, "pool_upstreams_leaving": p.Leaving, "pool_upstreams_pausing": p.Pausing,
+			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected, "pool_upstreams_out": p.Out, "pool_upstreams_leaving": p.Leaving, "pool_upstreams_pausing": p.Pausing,
 			"pool_slots": p.Slots, "pool_running": p.Running, "pool_waiting": p.Waiting,
 			"pool_upstreams_limited": p.Limited, "pool_limit_spent": p.LimitSpent,
 		} {
--- a/foxtaild/linker/loop.go
+++ b/foxtaild/linker/loop.go
@@ -45,7 +45,9 @@
 	limits               atomic.Pointer[limitView]
 	limitsAt, sentLimits uint64
 	sentLimitsAt         time.Time
-	log                  *slog.Logger
+	// sentEjectedAt is when entry hosts were last sent which upstreams are out of service.
+	sentEjectedAt time.Time
+	log           *slog.Logger
 	// poolLoads is the load of the pools at the last measurement.
 	poolLoads atomic.Pointer[[]coordinator.Load]
 	// cutOff is the number of entry hosts that are likely cut off from upstreams.
@@ -112,6 +114,7 @@
 		l.refresh(now)
 		l.deliver(l.coordinator.Advance(now))
 		l.publishLimits(now)
+		l.publishEjections(now)
 		l.measureLoads(now)
 		wait := idleTick
 		if len(l.pending) > 0 {
--- a/foxtaild/linker/messages.go
+++ b/foxtaild/linker/messages.go
@@ -51,6 +51,8 @@
 	Decisions []coordinator.Decision
 	// Observed are changes of upstreams' limits that the coordinator has recorded.
 	Observed []observer.Observation
+	// Ejected lists the upstreams that the coordinator has out of service for their failures.
+	Ejected []string
 	// Snapshot is an encoded directory.Snapshot, so that one that is sent to many
 	// hosts is encoded only once.
 	Snapshot []byte
