--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtaillug.org/scheduler/balancer"
+	"foxtaillug.org/scheduler/ejector"
 	"foxtaillug.org/scheduler/estimator"
 	"foxtaillug.org/scheduler/limiter"
 	"foxtaillug.org/scheduler/registrar"
@@ -65,6 +66,8 @@
 	capacity balancer.Speed
 	// pendingPrompt is the number of prompt tokens that are not yet processed.
 	pendingPrompt int
+	// record is the evidence of failed requests; nil if there is no outlier ejection.
+	record *ejector.Record
 }
 
 // newUpstream returns the state of an upstream that runs no requests.
@@ -119,7 +122,7 @@
 // eligible reports whether the upstream may receive new requests, regardless of
 // free slots.
 func (u *upstream) eligible(now time.Time) bool {
-	return u.inService() && !now.Before(u.ejection.until)
+	return u.inService() && !now.Before(u.ejection.until) && !u.isOut()
 }
 
 // inService reports whether the upstream may receive new requests now or later.
@@ -257,6 +260,7 @@
 			u.ejection.until = until
 		}
 	}
+	c.recordEvidence(name, g, f, responded, now)
 }
 
 // observeSpeed passes the times of a completed request to the estimator.
