ejector, linker: verdicts of other hosts are logged once

Cause: entry hosts follow the verdicts of their coordinator and would each log them. Expired verdicts are dropped. Test of a host that decides alone, benchmark of a decision.

--- a/foxtaild/linker/eject.go
+++ b/foxtaild/linker/eject.go
@@ -1,6 +1,8 @@
 package linker
 
 import (
+	"context"
+	"log/slog"
 	"math"
 	"time"
 
@@ -34,16 +36,21 @@
 	}
 }
 
-// publishEjections logs which upstreams were ejected or are back and, on a coordinator, sends the
+// publishEjections logs which upstreams were ejected or are back, those by the verdict of a
+// coordinator, which logs them itself, for debugging only, and, on a coordinator, sends the
 // entry hosts those that are out.
 func (l *loop) publishEjections(now time.Time) {
 	changes := l.coordinator.Ejections()
 	for _, e := range changes {
+		level, backLevel := slog.LevelWarn, slog.LevelInfo
+		if e.Hinted {
+			level, backLevel = slog.LevelDebug, slog.LevelDebug
+		}
 		if e.Out {
-			l.log.Warn("upstream ejected", "pool", e.Pool, "upstream", e.ID, "reason", e.Reason, "failureRate", e.Rate, "poolFailureRate", e.PoolRate)
+			l.log.Log(context.Background(), level, "upstream ejected", "pool", e.Pool, "upstream", e.ID, "reason", e.Reason, "failureRate", e.Rate, "poolFailureRate", e.PoolRate)
 			continue
 		}
-		l.log.Info("upstream back in service", "pool", e.Pool, "upstream", e.ID, "reason", e.Reason, "outMs", e.Lasted.Milliseconds())
+		l.log.Log(context.Background(), backLevel, "upstream back in service", "pool", e.Pool, "upstream", e.ID, "reason", e.Reason, "outMs", e.Lasted.Milliseconds())
 	}
 	if l.coordinator.Standalone() || len(changes) == 0 && now.Sub(l.sentEjectedAt) < ejectedInterval {
 		return
--- a/scheduler/coordinator/eject.go
+++ b/scheduler/coordinator/eject.go
@@ -232,6 +232,7 @@
 	if len(c.outliers.hints) == 0 || !c.fleet.Standalone && now.Sub(c.tookOverAt) >= hintTTL {
 		return
 	}
+	maps.DeleteFunc(c.outliers.hints, func(_ string, at time.Time) bool { return now.Sub(at) > hintTTL })
 	for _, u := range p.members {
 		if at, hinted := c.outliers.hints[u.ID]; hinted && u.inService() {
 			c.outliers.pool(p.Name).Hint(u.record, at, now)
--- a/scheduler/coordinator/eject_back_test.go
+++ b/scheduler/coordinator/eject_back_test.go
@@ -187,3 +187,57 @@
 		t.Errorf("%d trials, %d of them with requests that may not be retried", trials, costly)
 	}
 }
+
+// TestHostThatDecidesAloneEjects guards against a standalone host that goes on sending requests to a
+// failing upstream: it has no coordinator whose evidence it could use.
+func TestHostThatDecidesAloneEjects(t *testing.T) {
+	c := newCoordinator()
+	c.SetFleet(coordinator.Fleet{Hosts: 1, Share: 1, QuotaShare: 1, Domain: "d", Scope: []string{"d"}, Regions: map[string]string{"d": "r"}, Standalone: true}, start)
+	f := &faultPlay{upstreams: 3, slots: 4, rate: 200, respond: fails(0, 3*time.Second, 1), c: c}
+	f.run(1, 7*time.Second, ejection)
+	if f.failed[1] >= 20 || f.out[len(f.out)-1] != 0 {
+		t.Errorf("%d requests failed, want less than 20; %d upstreams are out 4 s after the fault", f.failed[1], f.out[len(f.out)-1])
+	}
+	t.Logf("%d of %d requests failed", f.failed[1], f.submitted)
+}
+
+// BenchmarkDecisionWithEjection measures a decision with 2,000 waiting requests while an upstream is
+// out, with and without ejection.
+func BenchmarkDecisionWithEjection(b *testing.B) {
+	for name, features := range map[string]coordinator.Features{"off": {}, "on": ejection} {
+		b.Run(name, func(b *testing.B) {
+			c := newCoordinator()
+			coordinator.WithFeatures(features)(c)
+			setFaulty(c, 23, 4, start)
+			id := uint64(0)
+			now := start
+			admit := func() {
+				id++
+				r := request(id)
+				r.Content, r.Left, r.Objective = uint16(id), time.Hour, time.Hour
+				c.Admit("entry", r, now)
+			}
+			var running []coordinator.Decision
+			for range 1900 + 23*4 {
+				admit()
+			}
+			running = append(running, c.Advance(now)...)
+			for b.Loop() {
+				now = now.Add(100 * time.Microsecond)
+				for i, d := range running {
+					if d.Upstream == "u05" || d.Upstream != "" && i == len(running)-1 {
+						f := coordinator.Finish{ID: d.ID, Total: faultRun}
+						if d.Upstream == "u05" {
+							f.Ending = coordinator.Failed
+						}
+						c.Finish("entry", f, now)
+						running = slices.Delete(running, i, i+1)
+						break
+					}
+				}
+				admit()
+				running = append(running, c.Advance(now)...)
+			}
+		})
+	}
+}
--- a/scheduler/ejector/ejector.go
+++ b/scheduler/ejector/ejector.go
@@ -164,6 +164,8 @@
 	Out bool
 	// Reason is why.
 	Reason string
+	// Hinted reports whether the ejection rests on the verdict of another host only.
+	Hinted bool
 	// Rate is the failure rate of the upstream, PoolRate that of the rest of the pool, both
 	// from 0 to 1.
 	Rate, PoolRate float64
@@ -338,7 +340,7 @@
 // restore returns an upstream to service.
 func (p *Pool) restore(r *Record, reason string, now time.Time) {
 	p.out--
-	p.changes = append(p.changes, Change{ID: r.id, Reason: reason, Rate: r.rate, PoolRate: r.poolRate, Lasted: now.Sub(r.since)})
+	p.changes = append(p.changes, Change{ID: r.id, Reason: reason, Hinted: r.hinted, Rate: r.rate, PoolRate: r.poolRate, Lasted: now.Sub(r.since)})
 	r.end(now)
 	r.all, r.part, r.failures, r.successes = 0, 0, 0, 0
 }
