reserver, coordinator: room for tokens on an upstream

Slots were the only measure of room.

With TokenRoom on and the pool's memory known, an upstream accepts a request if its tokens fit with a reserve for the outputs, and if what it reads without a break stays within the shortest MaxPause there (new field of the admission request, filled in by the forwarder). An upstream without unread prompt accepts. What fits nowhere is refused at once as tooLarge. A request much larger than what runs reserves memory after half of its objective. The reading speed is learned from first events by prompt length: the estimator's base of 50 ms makes upstreams look faster than they read.

A single long prompt can still exceed the pause.

--- a/foxtaild/forwarder/admission.go
+++ b/foxtaild/forwarder/admission.go
@@ -49,7 +49,7 @@
 	}
 	return coordinator.Request{
 		Pool: h.pool, Workspace: r.Workspace, Tier: r.Tier, Priority: r.Route.Priority,
-		Age: r.Age + now.Sub(r.Arrived), Objective: r.Route.Objective, Left: r.Deadline.Sub(now), Waited: h.waited,
+		Age: r.Age + now.Sub(r.Arrived), Objective: r.Route.Objective, MaxPause: r.Route.MaxPause, Left: r.Deadline.Sub(now), Waited: h.waited,
 		Cost: r.Cost, Prompt: r.Prompt, Output: r.Output,
 		Repeat: h.dispatched > 0, Exclude: slices.Concat(h.tried, h.excluded), Version: version, Regions: r.Regions, Digest: r.Digest, Prefix: r.Prefix,
 	}
--- a/foxtaild/linker/admitter.go
+++ b/foxtaild/linker/admitter.go
@@ -202,7 +202,11 @@
 	if d.Reason == coordinator.OverQuota {
 		o = forwarder.OverQuota
 	}
-	return &forwarder.Refusal{Outcome: o, Reason: d.Reason.String(), RetryAfter: d.RetryAfter}
+	reason := d.Reason.String()
+	if d.TooLarge {
+		reason = "tooLarge"
+	}
+	return &forwarder.Refusal{Outcome: o, Reason: reason, RetryAfter: d.RetryAfter}
 }
 
 // report sends a frame about a running request to the coordinators that track it, and to
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -90,6 +90,7 @@
 	g.markStarted()
 	delete(c.grants, k)
 	delete(g.upstream.running, k)
+	g.upstream.returnTokens(g.req)
 }
 
 // Coordinator grants the upstreams of one failure domain. It is not safe for
@@ -155,6 +156,7 @@
 	}
 	for _, u := range c.upstreams {
 		c.setColdRate(u, now)
+		c.setMemory(u, now)
 	}
 	for _, w := range t.Workspaces() {
 		if q := c.quotas[w.Name]; q != nil {
@@ -222,6 +224,7 @@
 		u.Entry = e
 		u.unavailable = false
 		c.setColdRate(u, now)
+		c.setMemory(u, now)
 		c.applyObserved(u, now)
 	}
 	for id, u := range c.upstreams {
@@ -353,6 +356,7 @@
 	if g := c.grants[key{entry, p.ID}]; g != nil && !g.started {
 		g.markStarted()
 		c.recordResponse(entry, g.upstream, g.at, now)
+		g.upstream.observeReading(g, p.FirstToken)
 		if g.onlyPrompt {
 			g.observed = true
 			g.upstream.speed.ObserveFirstToken(g.req.Prompt, p.FirstToken)
@@ -363,6 +367,7 @@
 // addGrant records a granted request.
 func (c *Coordinator) addGrant(k key, r Request, u *upstream, now time.Time) *grant {
 	g := &grant{req: r, upstream: u, at: now, onlyPrompt: u.pendingPrompt == 0}
+	u.holdTokens(r, now)
 	u.pendingPrompt += r.Prompt
 	c.grants[k] = g
 	u.running[k] = g
--- a/scheduler/coordinator/limit.go
+++ b/scheduler/coordinator/limit.go
@@ -136,6 +136,9 @@
 // freeSlots returns the number of requests that the upstream may receive now.
 func (u *upstream) freeSlots(now time.Time) int {
 	free := max(0, u.slots()-len(u.running))
+	if u.isClosed(now) {
+		free = 0
+	}
 	if u.limit == nil {
 		return free
 	}
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -62,6 +62,8 @@
 	doubtedAt, respondedAt time.Time
 	// pendingPrompt is the number of prompt tokens that are not yet processed.
 	pendingPrompt int
+	// tokens is the room for tokens, nil if it is not counted.
+	tokens *tokenRoom
 }
 
 // newUpstream returns the state of an upstream that runs no requests.
@@ -124,7 +126,7 @@
 
 // canAccept reports whether the upstream may receive a request now.
 func (u *upstream) canAccept(now time.Time) bool {
-	if !u.eligible(now) || len(u.running) >= u.slots() || !u.withinLimit(now) {
+	if !u.eligible(now) || len(u.running) >= u.slots() || !u.withinLimit(now) || u.isClosed(now) {
 		return false
 	}
 	return u.cold == nil || !u.isCold(now) || u.cold.Has(1, now)
@@ -179,11 +181,11 @@
 func (c *Coordinator) place(p *pool, entry string, r Request, now time.Time) (best *upstream) {
 	lowest := math.Inf(1)
 	for _, u := range p.members {
-		if !u.canAccept(now) || !c.allowed(u, entry, r, now) {
+		if !u.canAccept(now) || !c.allowed(u, entry, r, now) || !u.hasRoom(key{entry, r.ID}, r, now) {
 			continue
 		}
 		success := max(u.speed.SuccessRate(), minSuccessRate)
-		score := float64(u.completionTime(r)) / (success * success)
+		score := float64(u.completionTime(r)+u.pauseCost(r, now)) / (success * success)
 		if u.preferred(r, now) {
 			score = 0
 		}
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -48,6 +48,8 @@
 	// lastSweep is the time at which the request was last checked for
 	// redirection or refusal.
 	lastSweep time.Time
+	// reserving is set after the request has reserved an upstream for its tokens.
+	reserving bool
 }
 
 // age returns the time since the caller first sent the request.
@@ -79,6 +81,8 @@
 	// queue was last checked.
 	round     uint64
 	lastSweep time.Time
+	// tokens is what the current round of serve has found of the room for tokens.
+	tokens tokenSearch
 }
 
 // Admit queues an admission request of an entry host. Advance returns the
@@ -86,6 +90,9 @@
 func (c *Coordinator) Admit(entry string, r Request, now time.Time) {
 	c.noteStandalone(now)
 	p := c.pool(r.Pool, now)
+	if c.refuseTooLarge(p, entry, r) {
+		return
+	}
 	if reason, after := c.checkLimits(p, r, now); reason != None {
 		c.decide(entry, Decision{ID: r.ID, Reason: reason, RetryAfter: after})
 		return
@@ -167,6 +174,7 @@
 			w.triedRound = p.round
 			c.noteFull(p, w.Version, now)
 			c.noteUnreached(p, w.entry, now)
+			c.reserve(p, w, now)
 			continue
 		}
 		c.grant(w, u, now)
@@ -187,7 +195,7 @@
 func (c *Coordinator) next(p *pool, now time.Time) (first int) {
 	first = -1
 	for i, w := range p.waiting {
-		if w.triedRound == p.round || w.Version != "" && slices.Contains(p.full, w.Version) || slices.Contains(p.unreached, w.entry) {
+		if w.triedRound == p.round || w.Version != "" && slices.Contains(p.full, w.Version) || slices.Contains(p.unreached, w.entry) || p.noRoomFor(w, now) {
 			continue
 		}
 		w.late = now.After(w.sendBy)
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -37,6 +37,8 @@
 	Version string
 	// Regions lists the regions that may serve the request; empty means any.
 	Regions []string
+	// MaxPause is the target for the longest pause between two events; 0 means unknown.
+	MaxPause time.Duration
 	// Digest identifies the request's content for owners that quarantine requests,
 	// Prefix the start of its prompt; 0 means none.
 	Digest, Prefix uint64
@@ -86,6 +88,9 @@
 	// RetryAfter is the time after which the caller of a refused request should
 	// retry.
 	RetryAfter time.Duration
+	// TooLarge marks a request that fits into the memory of no upstream of its pool. Its
+	// Reason is NoCapacity, because a host of a build before has no name for another one.
+	TooLarge bool
 }
 
 // Ending is the way in which a granted request ended.
