coordinator, forwarder, commander: refusals name what decided them

A refused request's log line had a reason only. Operators could not see whether the forecast wait or missing upstreams decided.

Decision.Explanation carries the forecast wait and the pool's upstreams by state (share figures have their fields, not yet filled in) through linker and forwarder.Refusal to the request line: waitMs, upstreamsServing, upstreamsCold, upstreamsEjected, upstreamsLeaving, shareAsked, shareServed, shareLevel, on refused requests only. foxtailctl story shows them.

--- a/foxtailctl/commander/logs.go
+++ b/foxtailctl/commander/logs.go
@@ -42,6 +42,7 @@
 	Change        string    `json:"change"`
 	Limit         string    `json:"limit"`
 	PauseMs       int64     `json:"pauseMs"`
+	explanation
 }
 
 // readLogs calls handle for each log line of files, or of standard input if
@@ -146,6 +147,7 @@
 		if l.Outcome == "notRun" || l.Outcome == "overQuota" {
 			text += fmt.Sprintf("; retry after %d ms", l.RetryAfterMs)
 		}
+		text += l.explanation.describe()
 		return text
 	case "request refused":
 		return fmt.Sprintf("refused with status %d by configuration %d", l.Status, l.ConfigVersion)
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -279,7 +279,7 @@
 		"retryAfterMs", h.refusal.RetryAfter.Milliseconds(),
 		"resumes", r.Resumes, "after", r.LastEventID, "prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
 		"waitedMs", h.waited.Milliseconds(), "firstMs", h.firstEvent.Milliseconds(), "pauseMs", h.longestPause.Milliseconds(), "tookMs", took.Milliseconds(),
-		"owner", h.owner, "upstreams", h.tried, "upstreamVersions", h.versions, "streamVersions", h.relayedVersions, "endings", h.endings, "limits", h.limits, "digest", r.logDigest(), "parts", r.logParts(), "handedOverBy", r.HandedOverBy)
+		"owner", h.owner, "upstreams", h.tried, "upstreamVersions", h.versions, "streamVersions", h.relayedVersions, "endings", h.endings, "limits", h.limits, "digest", r.logDigest(), "parts", r.logParts(), "handedOverBy", r.HandedOverBy, h.explanation(res))
 	if r.HandedOverBy != "" {
 		// The caller's host counts it.
 		return
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -180,6 +180,9 @@
 	ResponseStarted bool
 	Reason          string
 	RetryAfter      time.Duration
+	// Explanation is what decided on the refusal of an admission request, nil if that is
+	// not known.
+	Explanation *coordinator.Explanation
 }
 
 // Grant is the decision on an admission request: the upstream that the request
--- a/foxtaild/linker/admitter.go
+++ b/foxtaild/linker/admitter.go
@@ -206,7 +206,7 @@
 	if d.TooLarge {
 		reason = "tooLarge"
 	}
-	return &forwarder.Refusal{Outcome: o, Reason: reason, RetryAfter: d.RetryAfter}
+	return &forwarder.Refusal{Outcome: o, Reason: reason, RetryAfter: d.RetryAfter, Explanation: d.Explanation}
 }
 
 // report sends a frame about a running request to the coordinators that track it, and to
--- a/scheduler/coordinator/memory.go
+++ b/scheduler/coordinator/memory.go
@@ -123,11 +123,11 @@
 
 // refuseTooLarge refuses a request of an entry host that fits into the memory of no upstream of
 // a pool, even if nothing else runs there, and reports whether it did.
-func (c *Coordinator) refuseTooLarge(p *pool, entry string, r Request) bool {
+func (c *Coordinator) refuseTooLarge(p *pool, entry string, r Request, now time.Time) bool {
 	if !c.features.TokenRoom || p.Memory <= 0 || r.demand().FitsAlone(p.Memory) {
 		return false
 	}
-	c.decide(entry, Decision{ID: r.ID, Reason: NoCapacity, TooLarge: true, RetryAfter: maxRetryAfter})
+	c.decide(entry, Decision{ID: r.ID, Reason: NoCapacity, TooLarge: true, RetryAfter: maxRetryAfter, Explanation: c.explain(p, 0, now)})
 	return true
 }
 
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -83,6 +83,7 @@
 	lastSweep time.Time
 	// tokens is what the current round of serve has found of the room for tokens.
 	tokens tokenSearch
+	states stateCount
 }
 
 // Admit queues an admission request of an entry host. Advance returns the
@@ -90,11 +91,11 @@
 func (c *Coordinator) Admit(entry string, r Request, now time.Time) {
 	c.noteStandalone(now)
 	p := c.pool(r.Pool, now)
-	if c.refuseTooLarge(p, entry, r) {
+	if c.refuseTooLarge(p, entry, r, now) {
 		return
 	}
 	if reason, after := c.checkLimits(p, r, now); reason != None {
-		c.decide(entry, Decision{ID: r.ID, Reason: reason, RetryAfter: after})
+		c.decide(entry, Decision{ID: r.ID, Reason: reason, RetryAfter: after, Explanation: c.explainLimit(p, reason, now)})
 		return
 	}
 	p.forecaster.recordArrival(rankOf(r), now)
@@ -350,7 +351,7 @@
 		reason = NoUpstream
 	}
 	c.uncharge(p, w.Request)
-	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: after})
+	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: after, Explanation: c.explainQueued(p, w, fc, position, now)})
 	return true
 }
 
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -91,6 +91,8 @@
 	// TooLarge marks a request that fits into the memory of no upstream of its pool. Its
 	// Reason is NoCapacity, because a host of a build before has no name for another one.
 	TooLarge bool
+	// Explanation is what decided on a refusal, nil if that is not known.
+	Explanation *Explanation
 }
 
 // Ending is the way in which a granted request ended.
