--- a/scheduler/coordinator/forecast.go
+++ b/scheduler/coordinator/forecast.go
@@ -48,10 +48,13 @@
 const priorityLevels = 8
 
 // rank returns the rank of a queued request.
-func (w *waiter) rank() rank {
-	order := min(max(w.Tier, 0)*priorityLevels+min(max(w.Priority, 0), priorityLevels-1), maxOrder)
+func (w *waiter) rank() rank { return rankOf(w.Request, w.share.over) }
+
+// rankOf returns the rank of a request whose workspace is over its share or not.
+func rankOf(r Request, over bool) rank {
+	order := min(max(r.Tier, 0)*priorityLevels+min(max(r.Priority, 0), priorityLevels-1), maxOrder)
 	tier, priority := order/priorityLevels, order%priorityLevels
-	if w.share.over {
+	if over {
 		priority += priorityLevels
 	}
 	return rank(2*tier*priorityLevels + priority)
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -49,6 +49,8 @@
 	// redirection or refusal.
 	lastSweep time.Time
 	share     claim
+	// reserving is set after the request has reserved an upstream for its tokens.
+	reserving bool
 }
 
 // age returns the time since the caller first sent the request.
@@ -82,6 +84,9 @@
 	// queue was last checked.
 	round     uint64
 	lastSweep time.Time
+	// tokens is what the current round of serve has found of the room for tokens.
+	tokens tokenSearch
+	states stateCount
 }
 
 // Admit queues an admission request of an entry host. Advance returns the
@@ -89,8 +94,11 @@
 func (c *Coordinator) Admit(entry string, r Request, now time.Time) {
 	c.noteStandalone(now)
 	p := c.pool(r.Pool, now)
+	if c.refuseTooLarge(p, entry, r, now) {
+		return
+	}
 	if reason, after := c.checkLimits(p, r, now); reason != None {
-		c.decide(entry, Decision{ID: r.ID, Reason: reason, RetryAfter: after})
+		c.decide(entry, Decision{ID: r.ID, Reason: reason, RetryAfter: after, Explanation: c.explainLimit(p, reason, now)})
 		return
 	}
 	w := &waiter{
@@ -174,6 +182,7 @@
 			w.triedRound = p.round
 			c.noteFull(p, w.Version, now)
 			c.noteUnreached(p, w.entry, now)
+			c.reserve(p, w, now)
 			continue
 		}
 		c.grant(w, u, now)
@@ -195,7 +204,7 @@
 func (c *Coordinator) next(p *pool, now time.Time) (first int) {
 	first = -1
 	for i, w := range p.waiting {
-		if w.triedRound == p.round || w.Version != "" && slices.Contains(p.full, w.Version) || slices.Contains(p.unreached, w.entry) {
+		if w.triedRound == p.round || w.Version != "" && slices.Contains(p.full, w.Version) || slices.Contains(p.unreached, w.entry) || p.noRoomFor(w, now) {
 			continue
 		}
 		w.late = now.After(w.sendBy)
@@ -351,7 +360,7 @@
 		reason = NoUpstream
 	}
 	c.uncharge(p, w.Request)
-	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: after})
+	c.decide(w.entry, Decision{ID: w.ID, Reason: reason, RetryAfter: after, Explanation: c.explainQueued(p, w, fc, position, now)})
 	return true
 }
 
