--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -224,6 +224,7 @@
 		l.loop.enqueue(l.ctx, func(now time.Time) { l.loop.observe("coordinator", r.Observed, now) })
 	}
 	l.receiveEjected(r.Ejected)
+	l.holdShares(r.Shares)
 	if r.Snapshot != nil {
 		s, err := decodeSnapshot(r.Snapshot)
 		if err == nil {
--- a/foxtaild/linker/loop.go
+++ b/foxtaild/linker/loop.go
@@ -48,6 +48,8 @@
 	// sentEjectedAt is when entry hosts were last sent which upstreams are out of service.
 	sentEjectedAt time.Time
 	log           *slog.Logger
+	// sentShares is the state of the messages on shares.
+	sentShares sentShares
 	// poolLoads is the load of the pools at the last measurement.
 	poolLoads atomic.Pointer[[]coordinator.Load]
 	// cutOff is the number of entry hosts that are likely cut off from upstreams.
@@ -115,6 +117,7 @@
 		l.deliver(l.coordinator.Advance(now))
 		l.publishLimits(now)
 		l.publishEjections(now)
+		l.publishShares(now)
 		l.measureLoads(now)
 		wait := idleTick
 		if len(l.pending) > 0 {
--- a/foxtaild/linker/messages.go
+++ b/foxtaild/linker/messages.go
@@ -53,6 +53,9 @@
 	Observed []observer.Observation
 	// Ejected lists the upstreams that the coordinator has out of service for their failures.
 	Ejected []string
+	// Shares are the workspaces over their share, for a time in which the entry host
+	// decides for itself; nil in messages that say nothing of them.
+	Shares *shares
 	// Snapshot is an encoded directory.Snapshot, so that one that is sent to many
 	// hosts is encoded only once.
 	Snapshot []byte
