pacer, coordinator: slow start of upstreams that have started or recovered

Cause: an upstream that recovers is left idle too long or flooded. Each of several failures at once doubled its ejection, so one burst led to 4 s; after a power cut each host kept its own ejections; a cold upstream got 0.45 of its rate though only one coordinator could grant it.

Change, with the feature Pacing: a window and a rate by AIMD from answers; single trial requests from 100 ms after a failure on, whose success counts for all hosts; 0.65 of the cold bound for a coordinator that sees its failure domain complete for 2 s, 0.25 for 2 s after a takeover or a suspension, 0.45 else. Without the feature nothing changes.

--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -193,6 +193,7 @@
 	f := coordinator.Fleet{
 		Hosts: hosts, Domain: l.settings.Domain, Regions: l.settings.Regions,
 		Standalone: !v.coordinating, Scope: l.scope(v),
+		Complete: l.home.complete(l.settings, v.members),
 	}
 	if v.coordinating {
 		f.Share = float64(own) / float64(hosts)
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -60,6 +60,8 @@
 	wasSettled   bool
 	viewedAt     time.Time
 	appliedFleet coordinator.Fleet
+	// home are the hosts of this host's failure domain.
+	home homeHosts
 	// seq is the ID of the last admission request.
 	seq atomic.Uint64
 	// announced is the newest version of the configuration that another host has.
@@ -202,7 +204,8 @@
 	for _, p := range l.loop.loads() {
 		for name, n := range map[string]int{
 			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected, "pool_upstreams_leaving": p.Leaving, "pool_upstreams_pausing": p.Pausing,
-			"pool_slots": p.Slots, "pool_running": p.Running, "pool_waiting": p.Waiting,
+			"pool_upstreams_paced": p.Paced,
+			"pool_slots":           p.Slots, "pool_running": p.Running, "pool_waiting": p.Waiting,
 			"pool_upstreams_limited": p.Limited, "pool_limit_spent": p.LimitSpent,
 		} {
 			gauges = append(gauges, reporter.Gauge{Name: name, Tags: map[string]string{"pool": p.Pool}, Value: float64(n)})
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -50,6 +50,9 @@
 	Regions map[string]string
 	// Domain is the failure domain of this host.
 	Domain string
+	// Complete is set if every known host of Domain is alive, so that no other host can
+	// have become its coordinator.
+	Complete bool
 	// Standalone is set on an entry host that decides for itself because its
 	// coordinator does not respond.
 	Standalone bool
@@ -71,6 +74,8 @@
 	onlyPrompt bool
 	// limited is set if the request was charged to the upstream's limit.
 	limited bool
+	// paced is set after the pace of the upstream was adapted to the request.
+	paced bool
 	// started is set after the first event, observed after the time to it was
 	// passed to the estimator.
 	started, observed bool
@@ -112,6 +117,8 @@
 	lastAdmit time.Time
 	// tookOverAt is when the upstreams that this coordinator grants last changed.
 	tookOverAt time.Time
+	// pacing is what pace.go keeps for all upstreams.
+	pacing pacing
 	// peers holds the other coordinators by failure domain.
 	peers map[string]peer
 	// decisions are those not yet returned by Advance.
@@ -196,6 +203,9 @@
 	before := c.fleet
 	c.fleet = f
 	c.emptyLimits(before, now)
+	c.paceFleet(before, func(u *upstream) bool {
+		return before.Standalone != f.Standalone || !slices.Contains(before.Scope, u.Domain)
+	}, now)
 	for _, p := range c.pools {
 		c.setRetryBudget(p, now)
 	}
@@ -220,6 +230,7 @@
 			c.upstreams[e.ID] = u
 		}
 		u.Entry = e
+		c.paceListed(u, now)
 		u.unavailable = false
 		c.setColdRate(u, now)
 		c.applyObserved(u, now)
@@ -265,6 +276,7 @@
 			continue
 		}
 		c.addGrant(key{entry, r.ID}, Request{ID: r.ID, Prompt: r.Prompt, Output: r.Output, Left: r.Left}, u, now).markStarted()
+		c.paceAdopted(u, now)
 	}
 }
 
@@ -301,6 +313,9 @@
 			if u.isCold(now) {
 				l.Cold++
 			}
+			if u.isPaced() {
+				l.Paced++
+			}
 			if u.limit != nil {
 				l.Limited++
 				l.LimitRate += u.limit.Rate()
@@ -353,6 +368,7 @@
 	if g := c.grants[key{entry, p.ID}]; g != nil && !g.started {
 		g.markStarted()
 		c.recordResponse(entry, g.upstream, g.at, now)
+		c.recordFirst(g, p.FirstToken, now)
 		if g.onlyPrompt {
 			g.observed = true
 			g.upstream.speed.ObserveFirstToken(g.req.Prompt, p.FirstToken)
@@ -371,6 +387,7 @@
 
 // Advance serves the queues and returns the decisions made since the last call.
 func (c *Coordinator) Advance(now time.Time) []Decision {
+	c.advancePace(now)
 	if now.Sub(c.lastExpiry) >= expiryInterval {
 		c.lastExpiry = now
 		c.expireGrants(now)
--- a/scheduler/coordinator/limit.go
+++ b/scheduler/coordinator/limit.go
@@ -62,6 +62,7 @@
 	u.coldUntil = c.observed.ColdUntil(u.ID, u.Born)
 	u.leaving = c.observed.Leaving(u.ID, u.Born)
 	c.setBrittle(u, c.observed.Brittle(u.ID, u.Born), now)
+	c.paceCold(u, now)
 	limit, _, ok := c.observed.Limit(u.ID, u.Born)
 	if !ok {
 		u.limit = nil
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -7,6 +7,7 @@
 
 	"foxtaillug.org/scheduler/estimator"
 	"foxtaillug.org/scheduler/limiter"
+	"foxtaillug.org/scheduler/pacer"
 	"foxtaillug.org/scheduler/registrar"
 )
 
@@ -50,6 +51,8 @@
 	limit     *limiter.Bucket
 	limited   int
 	limitedAt time.Time
+	// pace limits the requests after a start or recovery.
+	pace upstreamPace
 	// unavailable upstreams are no longer listed, and leaving ones have said that their
 	// process ends soon. Neither receives new requests.
 	unavailable, leaving bool
@@ -80,6 +83,10 @@
 		return
 	}
 	bound := p.ColdRate*c.bounds.ColdFactor + c.bounds.ColdAllowance
+	if c.features.Pacing {
+		c.setPacedColdRate(u, bound, now)
+		return
+	}
 	size := float64(coldBurst)
 	rate := max(bound*coldRateShare-size, 0)
 	if c.fleet.Standalone {
@@ -97,7 +104,7 @@
 	if u.brittle {
 		return int(max(1, min(u.room, u.maxRoom())))
 	}
-	return u.fullSlots()
+	return u.pacedSlots()
 }
 
 // fullSlots returns the number of requests that the upstream runs concurrently.
@@ -116,7 +123,7 @@
 // eligible reports whether the upstream may receive new requests, regardless of
 // free slots.
 func (u *upstream) eligible(now time.Time) bool {
-	return u.inService() && !now.Before(u.ejection.until)
+	return u.inService() && !now.Before(u.ejection.until) && !(u.pace.Trial() && u.pace.Resting(now))
 }
 
 // inService reports whether the upstream may receive new requests now or later.
@@ -124,7 +131,7 @@
 
 // canAccept reports whether the upstream may receive a request now.
 func (u *upstream) canAccept(now time.Time) bool {
-	if !u.eligible(now) || len(u.running) >= u.slots() || !u.withinLimit(now) {
+	if !u.eligible(now) || len(u.running) >= u.slots() || !u.withinLimit(now) || u.pace.Resting(now) {
 		return false
 	}
 	return u.cold == nil || !u.isCold(now) || u.cold.Has(1, now)
@@ -224,6 +231,7 @@
 // first event if responded is set.
 func (c *Coordinator) recordFinish(name string, g *grant, f Finish, responded bool, now time.Time) {
 	u := g.upstream
+	c.recordPacedFinish(g, f, now)
 	switch f.Ending {
 	case Complete, Failed, Rejected:
 		c.recordResponse(name, u, g.at, now)
@@ -239,12 +247,16 @@
 	case TimedOut, ConnectionLost:
 		if responded || c.recordLost(name, u, now) {
 			u.speed.ObserveResult(false)
+			c.recordPace(g, pacer.Lost, now)
 		}
 	case ConnectFailed:
 		c.recordUnreached(name, u, now)
 	case WrongUpstream:
 		u.unavailable = true
 	case Rejected:
+		if c.paces(u) {
+			return
+		}
 		pause := minEjection / 3
 		if u.brittle {
 			pause = brittlePause
--- a/scheduler/coordinator/reach.go
+++ b/scheduler/coordinator/reach.go
@@ -86,6 +86,7 @@
 		delete(e.ejected, u.ID)
 	}
 	u.respondedAt = now
+	c.endTrial(u, granted, now)
 	if granted.After(u.doubtedAt) {
 		u.doubted = u.doubted[:0]
 	}
@@ -102,7 +103,7 @@
 	e := c.entryOf(name)
 	e.reach.Failed(u.ID, true, now)
 	own := e.ejected[u.ID]
-	own.extend(now)
+	c.ejectFor(&own, name, u, now)
 	e.ejected[u.ID] = own
 	if e.reach.CutOff(now) {
 		c.liftEjections(name, now)
@@ -113,7 +114,7 @@
 	}
 	u.doubtedAt = now
 	if len(u.doubted) > 1 || now.Sub(u.respondedAt) > reachWindow {
-		u.ejection.extend(now)
+		c.ejectUpstream(u, now)
 		u.ejectedBy = append(u.ejectedBy[:0], u.doubted...)
 	}
 }
--- a/scheduler/coordinator/replay_test.go
+++ b/scheduler/coordinator/replay_test.go
@@ -333,8 +333,8 @@
 }
 
 // newCoordinator returns a coordinator of one failure domain.
-func newCoordinator() *coordinator.Coordinator {
-	c := coordinator.New("process", coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 58, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdAllowance: 5})
+func newCoordinator(opts ...coordinator.Option) *coordinator.Coordinator {
+	c := coordinator.New("process", coordinator.Bounds{RetryRatio: 0.2, RetryAllowance: 58, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdAllowance: 5}, opts...)
 	t, err := router.NewTable(router.Document{Version: 1, Pools: []router.Pool{{Name: "engines", ColdRate: 13}}})
 	if err != nil {
 		panic(err)
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -180,6 +180,9 @@
 	Leaving int
 	// Pausing counts the upstreams that want no requests of some host for a while.
 	Pausing int
+	// Paced counts the upstreams that have started or recovered and get fewer requests than
+	// they have slots, until they have answered enough in time.
+	Paced int
 	// Slots is the total number of slots, Running the number of running
 	// requests and Waiting the number of queued ones.
 	Slots, Running, Waiting int
