--- a/foxtaild/linker/shares_test.go
+++ b/foxtaild/linker/shares_test.go
@@ -4,6 +4,7 @@
 	"encoding/gob"
 	"log/slog"
 	"net"
+	"reflect"
 	"testing"
 	"time"
 
@@ -57,28 +58,36 @@
 	}
 }
 
-// TestMessageOfSharesAloneIsProcessed guards against a link that drops messages which
-// carry nothing but the workspaces over their share.
-func TestMessageOfSharesAloneIsProcessed(t *testing.T) {
-	local, remote := net.Pipe()
-	got := make(chan response, 1)
-	k := &link{conn: local, onUpdate: func(_ *link, r response) { got <- r }, log: slog.New(slog.DiscardHandler), broken: make(chan struct{})}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		k.read()
-	}()
-	if err := gob.NewEncoder(remote).Encode(&response{Shares: &shares{Over: []coordinator.OverShare{{Workspace: "big"}}}}); err != nil {
-		t.Fatal(err)
+// TestMessageOfOnePartIsProcessed guards against a link that drops messages which carry nothing
+// but the workspaces over their share, or the upstreams that are out of service.
+func TestMessageOfOnePartIsProcessed(t *testing.T) {
+	tests := map[string]response{
+		"shares":  {Shares: &shares{Over: []coordinator.OverShare{{Workspace: "big"}}}},
+		"ejected": {Ejected: []string{"engine"}},
 	}
-	remote.Close()
-	<-ended
-	select {
-	case r := <-got:
-		if r.Shares == nil || len(r.Shares.Over) != 1 || r.Shares.Over[0].Workspace != "big" {
-			t.Errorf("received %+v, want big", r.Shares)
-		}
-	default:
-		t.Error("the message was dropped")
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			local, remote := net.Pipe()
+			got := make(chan response, 1)
+			k := &link{conn: local, onUpdate: func(_ *link, r response) { got <- r }, log: slog.New(slog.DiscardHandler), broken: make(chan struct{})}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				k.read()
+			}()
+			if err := gob.NewEncoder(remote).Encode(&sent); err != nil {
+				t.Fatal(err)
+			}
+			remote.Close()
+			<-ended
+			select {
+			case r := <-got:
+				if !reflect.DeepEqual(r, sent) {
+					t.Errorf("received %+v, want %+v", r, sent)
+				}
+			default:
+				t.Error("the message was dropped")
+			}
+		})
 	}
 }
