sharer: compare totals only with those of the same process

After a change of coordinator, a workspace that the new process listed for the first time in its second report was compared with the totals of the old process. A host that had run for longer thus charged the workspace with hundreds of slot seconds (401 in the test, 11 are right), and a younger one wiped out what had been served (1 in place of 11). Each row now keeps the process of its last report.

--- a/scheduler/sharer/exchange.go
+++ b/scheduler/sharer/exchange.go
@@ -16,16 +16,17 @@
 	Served []float64
 }
 
-// source holds what another process has reported.
+// source holds what another source, such as a failure domain, has reported.
 type source struct {
-	process string
-	at      time.Time
-	rows    map[string]*row
+	at   time.Time
+	rows map[string]*row
 }
 
 // row is the work of one workspace at another process.
 type row struct {
-	at time.Time
+	// process is the one that sent the last report of the workspace, at the time at.
+	process string
+	at      time.Time
 	// totals are those of the last report, recent the decaying sums at the scale of the
 	// sharer.
 	totals, recent sums
@@ -60,22 +61,21 @@
 		o = &source{rows: make(map[string]*row)}
 		s.sources[name] = o
 	}
-	resumed := o.process != process
-	o.process, o.at = process, now
+	o.at = now
 	for i := range shares {
 		x := &shares[i]
 		totals := x.sums()
 		s.Account(x.Workspace, now)
 		r := o.rows[x.Workspace]
 		if r == nil {
-			r = &row{at: now, totals: totals}
+			r = &row{process: process, at: now, totals: totals}
 			o.rows[x.Workspace] = r
 			continue
 		}
-		if !resumed && now.Sub(r.at) <= reportTTL {
+		if r.process == process && now.Sub(r.at) <= reportTTL {
 			r.recent.addDiff(&totals, &r.totals, weight)
 		}
-		r.at, r.totals = now, totals
+		r.process, r.at, r.totals = process, now, totals
 	}
 	maps.DeleteFunc(o.rows, func(_ string, r *row) bool { return now.Sub(r.at) > accountTTL })
 }
--- a/scheduler/sharer/sharer_test.go
+++ b/scheduler/sharer/sharer_test.go
@@ -150,6 +150,8 @@
 		process string
 		served  float64
 		at      time.Duration
+		// absent is set if the report does not list the workspace.
+		absent bool
 	}
 	tests := map[string]struct {
 		reports []report
@@ -157,20 +159,26 @@
 		// want is the work served elsewhere that counts, undecayed.
 		want float64
 	}{
-		"the first is the baseline":       {[]report{{"p", 100, 0}}, 0, 0},
-		"difference":                      {[]report{{"p", 100, 0}, {"p", 110, 0}}, 0, 10},
-		"a lost report":                   {[]report{{"p", 100, 0}, {"p", 130, 0}, {"p", 130, 0}}, 0, 30},
-		"a new process":                   {[]report{{"p", 100, 0}, {"p", 110, 0}, {"q", 5, 0}, {"q", 7, 0}}, 0, 12},
-		"a corrected forecast":            {[]report{{"p", 100, 0}, {"p", 110, 0}, {"p", 105, 0}}, 0, 5},
-		"a report that is too old":        {[]report{{"p", 100, 0}, {"p", 110, 0}}, 1100 * time.Millisecond, 0},
-		"work of a partition is not owed": {[]report{{"p", 100, 0}, {"p", 500, 5 * time.Second}}, 5 * time.Second, 0},
+		"the first is the baseline":        {[]report{{"p", 100, 0, false}}, 0, 0},
+		"difference":                       {[]report{{"p", 100, 0, false}, {"p", 110, 0, false}}, 0, 10},
+		"a lost report":                    {[]report{{"p", 100, 0, false}, {"p", 130, 0, false}, {"p", 130, 0, false}}, 0, 30},
+		"a new process":                    {[]report{{"p", 100, 0, false}, {"p", 110, 0, false}, {"q", 5, 0, false}, {"q", 7, 0, false}}, 0, 12},
+		"listed late by a new process":     {[]report{{"p", 100, 0, false}, {"p", 110, 0, false}, {"q", 0, 0, true}, {"q", 500, 0, false}, {"q", 501, 0, false}}, 0, 11},
+		"listed late, with smaller totals": {[]report{{"p", 100, 0, false}, {"p", 110, 0, false}, {"q", 0, 0, true}, {"q", 5, 0, false}, {"q", 6, 0, false}}, 0, 11},
+		"a corrected forecast":             {[]report{{"p", 100, 0, false}, {"p", 110, 0, false}, {"p", 105, 0, false}}, 0, 5},
+		"a report that is too old":         {[]report{{"p", 100, 0, false}, {"p", 110, 0, false}}, 1100 * time.Millisecond, 0},
+		"work of a partition is not owed":  {[]report{{"p", 100, 0, false}, {"p", 500, 5 * time.Second, false}}, 5 * time.Second, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := sharer.New(start)
 			a := s.Account("a", start)
 			for _, r := range tt.reports {
-				s.Record("d2", r.process, []sharer.Share{{Workspace: "a", Asked: r.served, Served: []float64{r.served}}}, start.Add(r.at))
+				list := []sharer.Share{{Workspace: "a", Asked: r.served, Served: []float64{r.served}}}
+				if r.absent {
+					list = nil
+				}
+				s.Record("d2", r.process, list, start.Add(r.at))
 			}
 			now := start.Add(tt.at)
 			s.Refresh(now)
