coordinator: judge redirected requests by shares, forget old levels

Redirected requests were exempt from shares, although docs/HARD-LOAD.md exempts bound requests and repeats only.

While no request waits, the level of the last contention was kept and sums grew beyond it, so that for up to 15 ms every active workspace was over its share. A verdict now counts only under contention.

--- a/scheduler/coordinator/share.go
+++ b/scheduler/coordinator/share.go
@@ -133,9 +133,9 @@
 
 // keepsOrder reports whether a request keeps its place in the queue whatever its
 // workspace was served: the caller of a bound request has part of its response already,
-// that of a repeat has waited for its first run, and a redirected request was ordered by
-// shares where it came from.
-func (r *Request) keepsOrder() bool { return r.Version != "" || r.Repeat || r.Redirected }
+// and that of a repeat has waited for its first run. A redirected request does not: if the
+// domain of its callers is evacuated, it has not been ordered there.
+func (r *Request) keepsOrder() bool { return r.Version != "" || r.Repeat }
 
 // ask counts the work of a new request and sets whether it is over its workspace's share.
 func (c *Coordinator) ask(w *waiter, now time.Time) {
@@ -163,7 +163,9 @@
 		from, held := c.shares.held[overKey{class{w.Pool, w.Tier}, w.Workspace}]
 		w.share.over = held && w.Priority >= from
 	default:
-		w.share.over = w.share.account.Over(w.Priority)
+		// Without contention the level is infinite. That of the last contention no longer
+		// counts, as it is not computed anew until requests wait.
+		w.share.over = w.share.account.Sharer().Contended(now) && w.share.account.Over(w.Priority)
 	}
 	w.share.order = w.place()
 }
--- a/scheduler/coordinator/share_trial_test.go
+++ b/scheduler/coordinator/share_trial_test.go
@@ -53,6 +53,9 @@
 	killAt time.Duration
 	// parted reports whether coordinator 0 gets and sends no summaries at a time.
 	parted func(at time.Duration) bool
+	// evacuated is set if the last domain has no upstreams, so that the coordinator of
+	// its callers redirects all of their requests.
+	evacuated bool
 	// countFrom is the time from which requests are counted, by their arrival.
 	countFrom time.Duration
 
@@ -92,6 +95,9 @@
 	for d := range s.domains {
 		name := fmt.Sprint("d", d)
 		regions[name] = "r"
+		if s.evacuated && d == s.domains-1 {
+			continue
+		}
 		for left, i := s.slots, 0; left > 0; left, i = left-6, i+1 {
 			entries = append(entries, registrar.Entry{ID: fmt.Sprintf("%s-%d", name, i), Pool: "engines", Domain: name, Slots: min(left, 6)})
 		}
