coordinator: bound the debt of the link, tell rooms of cold upstreams

- Pools spend one budget of the link between regions but were served in the order of a map, so which of them redirected was random.
They are served by name.
- Requests of an evacuated domain spend the budget without a bound.
After 4 s of 50 requests of 120 KB a second nothing was redirected 2 s later.
- A domain whose upstreams are all cold, without requests so far, had a work rate of 0 and no room.
Others took it for an earlier build with all its slots free.
Every pool with an eligible upstream now has a room.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -60,7 +60,10 @@
 	table     *router.Table
 	upstreams map[string]*upstream
 	pools     map[string]*pool
-	grants    map[key]*grant
+	// poolList holds the pools by name, the order in which they are served: they spend one
+	// budget of the link between regions.
+	poolList []*pool
+	grants   map[key]*grant
 	// entries holds what is known of the entry hosts, by name.
 	entries map[string]*entry
 	quotas  map[string]*limiter.Quota
@@ -140,6 +143,8 @@
 	if p == nil {
 		p = &pool{Pool: router.Pool{Name: name}, retries: limiter.NewBucket(0, 0, 0, now)}
 		c.pools[name] = p
+		i, _ := slices.BinarySearchFunc(c.poolList, name, func(o *pool, name string) int { return cmp.Compare(o.Name, name) })
+		c.poolList = slices.Insert(c.poolList, i, p)
 		c.setRetryBudget(p, now)
 	}
 	return p
@@ -294,7 +299,7 @@
 		c.expireGrants(now)
 		c.observed.Prune(func(id string) bool { return c.upstreams[id] != nil }, now)
 	}
-	for _, p := range c.pools {
+	for _, p := range c.poolList {
 		c.serve(p, now)
 	}
 	d := c.decisions
--- a/scheduler/coordinator/overflow.go
+++ b/scheduler/coordinator/overflow.go
@@ -196,10 +196,15 @@
 	c.overflow.round++
 	rooms := make(map[string]balancer.Room)
 	for name, p := range c.pools {
-		if room, _ := c.roomOf(p, now); room.Rate > 0 {
-			room.Round, room.Running = c.overflow.round, p.runningWork(now)
-			rooms[name] = room
+		// The rate is 0 where all upstreams are cold and no request has come yet. Without a
+		// room the others would take the coordinator for one of an earlier build and go by
+		// its free slots, most of which cold upstreams may not use yet.
+		if !slices.ContainsFunc(p.members, func(u *upstream) bool { return u.eligible(now) }) {
+			continue
 		}
+		room, _ := c.roomOf(p, now)
+		room.Round, room.Running = c.overflow.round, p.runningWork(now)
+		rooms[name] = room
 	}
 	return rooms
 }
@@ -267,7 +272,11 @@
 	_, work := balancer.Work(w.Prompt, w.Output)
 	if c.isFar(domain) {
 		c.setLinkRate(now)
-		c.overflow.link.Spend(balancer.Bytes(w.Prompt, w.Output), now)
+		link := c.overflow.link
+		link.Spend(balancer.Bytes(w.Prompt, w.Output), now)
+		// An evacuated domain spends more than the budget. Its debt is bounded, so that
+		// the link is used again within a second of the end of the evacuation.
+		link.Add(max(0, -link.Level(now)-link.Rate()*linkBurst.Seconds()))
 	}
 	if o.sent == nil {
 		o.sent = make(map[string][]sentRequest)
