coordinator: use the rank with shares for reservations and arriving work

Reservations of memory compared ranks without shares: an urgent request of a workspace over its share took the room that a large request within its share had reserved. They now compare the rank that orders the queue, and a renewed reservation takes the present one.

Work that is redirected was taken out of the arrivals at the rank of that moment, not of its admission. Once a workspace went over its share, its work went on arriving at the higher rank, and the wait told to others was 459 ms in place of 248 (TestRedirectedWorkNoLongerArrives). Without FairShares ranks don't change.

--- a/scheduler/coordinator/memory.go
+++ b/scheduler/coordinator/memory.go
@@ -98,14 +98,14 @@
 	return u.tokens != nil && u.pendingPrompt > 0 && u.tokens.Closed(u.pendingPrompt, u.readingTime, now)
 }
 
-// hasRoom reports whether the upstream has room for the tokens of a request, which no other
-// request of its rank or a higher one has reserved.
-func (u *upstream) hasRoom(k key, r Request, now time.Time) bool {
+// hasRoom reports whether the upstream has room for the tokens of a request of a rank, which
+// no other request of that rank or a higher one has reserved.
+func (u *upstream) hasRoom(k key, r Request, of rank, now time.Time) bool {
 	t := u.tokens
 	if t == nil {
 		return true
 	}
-	if t.isReserved(now) && t.reservedFor != k && rankOf(r, false) >= t.reservedRank {
+	if t.isReserved(now) && t.reservedFor != k && of >= t.reservedRank {
 		return false
 	}
 	d := r.demand()
@@ -149,7 +149,7 @@
 	for _, u := range p.members {
 		if u.tokens.isReserved(now) {
 			if u.tokens.reservedFor == k {
-				u.tokens.reservedUntil = now.Add(reservationTime)
+				u.tokens.reservedRank, u.tokens.reservedUntil = w.rank(), now.Add(reservationTime)
 				return
 			}
 			reserved++
@@ -157,7 +157,7 @@
 		if !u.canAccept(now) {
 			continue
 		}
-		full = full && !u.hasRoom(k, w.Request, now)
+		full = full && !u.hasRoom(k, w.Request, w.rank(), now)
 		if u.tokens.isReserved(now) {
 			continue
 		}
@@ -173,7 +173,7 @@
 	}
 	p.tokens.reservable = best != nil && float64(reserved) < reservedFraction*float64(len(p.members))
 	if full && p.tokens.reservable && w.mayReserve(now) && best.tokens.Outsizes(d) {
-		best.tokens.reservedFor, best.tokens.reservedRank, best.tokens.reservedUntil = k, rankOf(w.Request, false), now.Add(reservationTime)
+		best.tokens.reservedFor, best.tokens.reservedRank, best.tokens.reservedUntil = k, w.rank(), now.Add(reservationTime)
 		w.reserving = true
 	}
 }
--- a/scheduler/coordinator/overflow.go
+++ b/scheduler/coordinator/overflow.go
@@ -71,7 +71,7 @@
 	o := &p.overflow
 	o.arrived = min(o.arrived+1, maxWorkSamples)
 	o.meanWork += (total.Seconds() - o.meanWork) / float64(o.arrived)
-	o.addArriving(w.rank(), total.Seconds(), now)
+	o.addArriving(w.admittedAs, total.Seconds(), now)
 }
 
 // addArriving adds work, which is negative if it goes elsewhere, to the work that arrives.
@@ -289,7 +289,7 @@
 			o.peers[i].SentWork += work
 		}
 	}
-	o.addArriving(w.rank(), -work.Seconds(), now)
+	o.addArriving(w.admittedAs, -work.Seconds(), now)
 }
 
 // candidates returns the failure domains that may serve a request.
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -188,13 +188,14 @@
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, c.fleet.Regions[u.Domain])
 }
 
-// place returns the upstream that is expected to complete a request of an entry host first,
-// or nil if none may receive it now. The time is divided by the square of the
-// success rate, so that a failing upstream is chosen less often.
-func (c *Coordinator) place(p *pool, entry string, r Request, now time.Time) (best *upstream) {
+// place returns the upstream that is expected to complete a queued request first, or nil if
+// none may receive it now; r is the request with its present age. The time is divided by the
+// square of the success rate, so that a failing upstream is chosen less often.
+func (c *Coordinator) place(p *pool, w *waiter, r Request, now time.Time) (best *upstream) {
+	of := w.rank()
 	lowest := math.Inf(1)
 	for _, u := range p.members {
-		if !u.canAccept(now) || !c.allowed(u, entry, r, now) || !u.hasRoom(key{entry, r.ID}, r, now) {
+		if !u.canAccept(now) || !c.allowed(u, w.entry, r, now) || !u.hasRoom(key{w.entry, r.ID}, r, of, now) {
 			continue
 		}
 		success := max(u.speed.SuccessRate(), minSuccessRate)
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -48,6 +48,8 @@
 	// redirection or refusal.
 	lastSweep time.Time
 	share     claim
+	// admittedAs is the rank at admission, at which the request counts as an arrival.
+	admittedAs rank
 	// reserving is set after the request has reserved an upstream for its tokens.
 	reserving bool
 }
@@ -105,7 +107,8 @@
 		sendBy: now.Add(r.Objective - r.Age - c.minFirstTokenTime(p, r, now)),
 	}
 	c.ask(w, now)
-	p.forecaster.recordArrival(w.rank(), now)
+	w.admittedAs = w.rank()
+	p.forecaster.recordArrival(w.admittedAs, now)
 	c.recordArrivingWork(p, w, now)
 	p.waiting = append(p.waiting, w)
 }
@@ -176,7 +179,7 @@
 		w := p.waiting[i]
 		r := w.Request
 		r.Age = w.age(now)
-		u := c.place(p, w.entry, r, now)
+		u := c.place(p, w, r, now)
 		if u == nil {
 			w.triedRound = p.round
 			c.noteFull(p, w.Version, now)
--- a/scheduler/coordinator/share_overflow_test.go
+++ b/scheduler/coordinator/share_overflow_test.go
@@ -72,3 +72,34 @@
 		t.Errorf("served in the order %v, want [2 3], by priority", got)
 	}
 }
+
+// TestRedirectedWorkNoLongerArrives guards against work that is counted as arriving at one
+// rank and taken out at another, because its workspace went over its share meanwhile: the
+// waits told to the others were then too long.
+func TestRedirectedWorkNoLongerArrives(t *testing.T) {
+	c := withShares(coordinator.Features{FairShares: true, Overflow: true})
+	f := coordinator.Fleet{Hosts: 2, Share: 1, QuotaShare: 1, Domain: "d", Scope: []string{"d"}, Regions: map[string]string{"d": "r", "near": "r"}}
+	c.SetFleet(f, start)
+	for id := range uint64(26) {
+		c.Admit("entry", asked(100+id, "big", 0), start)
+	}
+	c.Advance(start)
+	now := start.Add(50 * time.Millisecond)
+	c.Admit("entry", asked(1, "small", 0), now)
+	c.Withdraw("entry", 1)
+	c.Advance(now)
+	if over := c.OverShares(now); len(over) != 1 || over[0].Workspace != "big" {
+		t.Fatalf("over their share: %+v, want big", over)
+	}
+	c.RecordSummary(summaryOf("near", 50, 0), now)
+	now = now.Add(20 * time.Millisecond)
+	if n := len(c.Advance(now)); n != 20 {
+		t.Fatalf("%d redirected, want all 20 that wait", n)
+	}
+	// Rank 2 is priority 2 of the first tier. Nothing waits, so it waits for 0.55 s of work
+	// at 6 slots, less the work of the six that run, which came 70 ms before: 248 ms. With
+	// the work of the 20 it would be 459 ms, at the least rate that is assumed.
+	if waits := c.Summary(now).Rooms["engines"].Waits; waits[min(2, len(waits)-1)] > 300 {
+		t.Errorf("waits are %v ms, want at most 300 for rank 2", waits)
+	}
+}
