ejector: ends at upstreams that left the pool are no evidence

Requests that end at an upstream after it has left the pool or restarted under its ID were still judged. Failures counted it as out, so it took the place of an upstream that fails until the next change of the directory; a trial that succeeded made the count negative and let more than a third out. Records now know their pool. The new test and the property test, which now also draws such upstreams, fail before (out counted 1 of 0, and -1) and pass.

--- a/scheduler/ejector/ejector.go
+++ b/scheduler/ejector/ejector.go
@@ -57,6 +57,9 @@
 // Record is the evidence of one upstream. It belongs to at most one Pool.
 type Record struct {
 	id string
+	// pool is the pool that the record belongs to. It is nil once the upstream is no longer
+	// listed or has restarted: requests that still end there are not evidence.
+	pool *Pool
 	// rate and mean are moving averages of the failure rate over about 7 and 30 requests.
 	rate, mean float64
 	// samples counts the requests in them.
@@ -192,13 +195,16 @@
 	if slices.Equal(p.records, records) {
 		return
 	}
-	known := make(map[*Record]bool, len(p.records))
-	for _, r := range p.records {
-		known[r] = true
-	}
+	listed := make(map[*Record]bool, len(records))
 	for _, r := range records {
-		if !known[r] {
-			*r = Record{id: r.id}
+		listed[r] = true
+		if r.pool != p {
+			*r = Record{id: r.id, pool: p}
+		}
+	}
+	for _, r := range p.records {
+		if !listed[r] && r.pool == p {
+			r.pool = nil
 		}
 	}
 	p.records = slices.Clone(records)
@@ -278,6 +284,9 @@
 
 // Succeeded records that a request of an upstream that was granted at a time has completed.
 func (p *Pool) Succeeded(r *Record, sent, now time.Time) {
+	if r.pool != p {
+		return
+	}
 	if r.out {
 		p.passTrial(r, sent, now)
 		return
@@ -289,6 +298,9 @@
 
 // Failed records that an upstream has failed a request.
 func (p *Pool) Failed(r *Record, f Failure, now time.Time) {
+	if r.pool != p {
+		return
+	}
 	if f.Lost && now.Sub(r.lostAt) <= lossSpread && f.Sent.Before(r.lostAt) {
 		return
 	}
--- a/scheduler/ejector/ejector_test.go
+++ b/scheduler/ejector/ejector_test.go
@@ -84,6 +84,46 @@
 	}
 }
 
+// TestUpstreamThatLeftThePoolIsNoEvidence guards against requests that end at an upstream after it
+// has left the pool or restarted: it would take the place of an upstream that fails, or free one
+// that is not taken.
+func TestUpstreamThatLeftThePoolIsNoEvidence(t *testing.T) {
+	fail := func(p *ejector.Pool, r *ejector.Record, now time.Time) {
+		for i := range 8 {
+			p.Failed(r, ejector.Failure{Content: uint64(1 + i), Sent: now}, now)
+		}
+	}
+	tests := map[string]func(p *ejector.Pool, r *ejector.Record, leave func()){
+		"it fails": func(p *ejector.Pool, r *ejector.Record, leave func()) {
+			leave()
+			fail(p, r, start)
+		},
+		"a trial succeeds": func(p *ejector.Pool, r *ejector.Record, leave func()) {
+			fail(p, r, start)
+			leave()
+			p.Succeeded(r, start.Add(time.Second), start.Add(time.Second))
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, records := newPool(4, start)
+			for _, r := range records[1:] {
+				for range 40 {
+					p.Succeeded(r, start, start)
+				}
+			}
+			end(p, records[0], func() { p.SetRecords(records[1:], start) })
+			if p.Out() != 0 {
+				t.Fatalf("%d upstreams are out, want 0", p.Out())
+			}
+			fail(p, records[1], start.Add(time.Second))
+			if p.Out() != 1 || !records[1].Out() {
+				t.Errorf("%d upstreams are out, want the one that fails", p.Out())
+			}
+		})
+	}
+}
+
 // TestAtMostAThirdIsOut checks under random results, hints, trials and changes of the pool that at
 // most a third of it is out, and that the number and the list of changes are right.
 func TestAtMostAThirdIsOut(t *testing.T) {
@@ -96,7 +136,8 @@
 		content := uint64(0)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			r := members[rapid.IntRange(0, len(members)-1).Draw(t, "upstream")]
+			// Requests also end at upstreams that have left the pool.
+			r := all[rapid.IntRange(0, len(all)-1).Draw(t, "upstream")]
 			sent := now.Add(-time.Millisecond)
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0, 1, 2, 3, 4:
--- a/scheduler/ejector/trials.go
+++ b/scheduler/ejector/trials.go
@@ -123,7 +123,7 @@
 // Answered records that the upstream has begun to respond to a request, which ends a trial with
 // success.
 func (p *Pool) Answered(r *Record, sent, now time.Time) {
-	if r.out {
+	if r.out && r.pool == p {
 		p.passTrial(r, sent, now)
 	}
 }
@@ -179,7 +179,7 @@
 // two seconds, unless this host knows better.
 func (p *Pool) Hint(r *Record, at, now time.Time) {
 	switch {
-	case now.Sub(at) > hintTTL || r.succeededAt.After(at):
+	case r.pool != p || now.Sub(at) > hintTTL || r.succeededAt.After(at):
 	case r.out && r.hinted && at.After(r.judgedAt):
 		r.judgedAt = at
 	case !r.out && !r.backAt.After(at) && p.out < p.maxOut():
