coordinator: a reservation ends with the upstream's service

A large request kept its reservation of an upstream that is ejected, out or no longer listed for as long as it waited, and reserved none of the others, where smaller requests overtook it. It now reserves another one. In the test it is granted 480 ms after its admission, before after 1.32 s.

--- a/scheduler/coordinator/memory.go
+++ b/scheduler/coordinator/memory.go
@@ -148,10 +148,16 @@
 	least, reserved, allReserved, full := 0.0, 0, true, true
 	for _, u := range p.members {
 		if u.tokens.isReserved(now) {
-			if u.tokens.reservedFor == k {
+			own := u.tokens.reservedFor == k
+			if own && u.eligible(now) {
 				u.tokens.reservedUntil = now.Add(reservationTime)
 				return
 			}
+			if own {
+				// The upstream is out of service, so another one has room first.
+				u.tokens.reservedUntil = now
+				continue
+			}
 			reserved++
 		}
 		if !u.canAccept(now) {
