coordinator: slow start after ejection, and trials beside pace and token room

Ejection, pace and token room were built side by side. Faults, each shown by a test that fails before: - An upstream that the ejector restored got all its slots at once. Its pace now restarts, and the trial counts as the first request of the window (5 of 8 slots at once in place of 8). - With pacing a rejected trial was not reported to the ejector and held up the next one for 1 s; it now comes after the rest of 100 ms. - A trial waited until the streams that still run were below the window that the failures had reduced: none in 4 s beside 4 streams. It now waits for a free slot only. - Trials ignored the rest of a paced upstream, and exceeded its memory. - An upstream at whose address another process responds was available again with each change of the directory, and never without one. With pacing or ejection it now gets nothing for 1 s or until its address changes; with pacing it gets single trials afterwards. Without features nothing changes.

--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -240,6 +240,9 @@
 			u = newUpstream(e)
 			c.upstreams[e.ID] = u
 		}
+		if u.Address != e.Address {
+			u.wrongUntil = time.Time{}
+		}
 		u.Entry = e
 		c.paceListed(u, now)
 		u.unavailable = false
@@ -339,7 +342,7 @@
 					l.LimitAge = max(l.LimitAge, now.Sub(at))
 				}
 			}
-			if now.Before(u.ejection.until) {
+			if now.Before(u.ejection.until) || now.Before(u.wrongUntil) {
 				l.Ejected++
 			}
 			if c.observed.IsPausing(u.ID, u.Born, now) {
--- a/scheduler/coordinator/eject.go
+++ b/scheduler/coordinator/eject.go
@@ -114,6 +114,7 @@
 	switch {
 	case f.Ending == Complete:
 		e.Succeeded(u.record, sent, now)
+		c.paceRestored(u, g.at, now)
 	case f.Ending == Failed,
 		lost && (responded || !c.entryOf(entry).reach.CutOff(now)),
 		f.Ending == TimedOut && !responded && !c.entryOf(entry).reach.CutOff(now):
@@ -127,6 +128,7 @@
 func (c *Coordinator) recordAnswer(g *grant, now time.Time) {
 	if u := g.upstream; u.record != nil && !g.adopted() {
 		c.outliers.pool(u.Pool).Answered(u.record, g.at, now)
+		c.paceRestored(u, g.at, now)
 	}
 }
 
@@ -139,6 +141,7 @@
 	c.applyHints(p, now)
 	e := c.outliers.pool(p.Name)
 	e.Review(now)
+	c.paceReviewed(p, e.Out(), now)
 	if e.Out() == 0 || len(p.waiting) == 0 {
 		return
 	}
@@ -159,12 +162,23 @@
 
 // canAcceptTrial reports whether an upstream that is out may receive a request apart from that.
 func (u *upstream) canAcceptTrial(now time.Time) bool {
-	if !u.inService() || now.Before(u.ejection.until) || len(u.running) >= u.slots() || !u.withinLimit(now) {
+	if !u.inService() || now.Before(u.ejection.until) || now.Before(u.wrongUntil) || u.pace.Resting(now) ||
+		len(u.running) >= u.trialSlots() || !u.withinLimit(now) || u.isClosed(now) {
 		return false
 	}
 	return u.cold == nil || !u.isCold(now) || u.cold.Has(1, now)
 }
 
+// trialSlots returns the number of requests up to which an upstream that is out may get a trial.
+// A window that failures have reduced does not count: the trial would wait for streams that were
+// granted before.
+func (u *upstream) trialSlots() int {
+	if u.brittle || u.pace.Trial() {
+		return u.slots()
+	}
+	return u.fullSlots()
+}
+
 // nextTrial returns the index of the queued request that is sent to an upstream as a trial, or -1 if
 // there is none: the least urgent of those that may be retried, as it may fail, or of all others if
 // the trial has waited for long. Requests that have been sent before have fewer attempts left.
@@ -172,7 +186,8 @@
 	last = -1
 	patient := u.record.TrialOverdue(now) < trialPatience
 	for i, w := range p.waiting {
-		if patient && !w.Retryable || w.Repeat || c.tooLate(w, now) || !c.allowed(u, w.entry, w.Request, now) {
+		if patient && !w.Retryable || w.Repeat || c.tooLate(w, now) || !c.allowed(u, w.entry, w.Request, now) ||
+			!u.hasRoom(key{w.entry, w.ID}, w.Request, now) {
 			continue
 		}
 		if last < 0 || w.Retryable && !p.waiting[last].Retryable ||
--- a/scheduler/coordinator/pace.go
+++ b/scheduler/coordinator/pace.go
@@ -48,7 +48,8 @@
 type upstreamPace struct {
 	pacer.Pacer
 	// known is set once the upstream is listed, cold while it is cold.
-	known, cold bool
+	// out is set while it is out of service for its failures.
+	known, cold, out bool
 	// failedBy lists the hosts that could not connect to the upstream since it last
 	// responded to any.
 	failedBy []string
@@ -192,6 +193,35 @@
 	u.pace.cold = cold
 }
 
+// paceReviewed does what paceRestored does for the upstreams of a pool of which a number are out
+// of service.
+func (c *Coordinator) paceReviewed(p *pool, out int, now time.Time) {
+	if out == 0 && p.out == 0 {
+		return
+	}
+	p.out = out
+	for _, u := range p.members {
+		c.paceRestored(u, now, now)
+	}
+}
+
+// paceRestored begins slow start of an upstream that has returned from outlier ejection. It
+// counts requests that were granted since a time: that of the trial that has succeeded, if any.
+// One that can't be reached goes on with single trial requests.
+func (c *Coordinator) paceRestored(u *upstream, since, now time.Time) {
+	out := u.isOut()
+	restored := u.pace.out && !out
+	u.pace.out = out
+	if !restored || !c.features.Pacing || u.pace.Trial() {
+		return
+	}
+	c.startPace(u, since)
+	if !u.isCold(now) {
+		u.pace.Bears(len(u.running))
+	}
+	c.setColdRate(u, now)
+}
+
 // setPacedColdRate sets the rate for an upstream while it is cold: the fraction of the bound
 // that this coordinator may use, less the burst, at the upstream's pace.
 func (c *Coordinator) setPacedColdRate(u *upstream, bound float64, now time.Time) {
--- a/scheduler/coordinator/place.go
+++ b/scheduler/coordinator/place.go
@@ -58,6 +58,9 @@
 	// unavailable upstreams are no longer listed, and leaving ones have said that their
 	// process ends soon. Neither receives new requests.
 	unavailable, leaving bool
+	// wrongUntil is until when the upstream receives no requests because another process
+	// has responded at its address.
+	wrongUntil time.Time
 	// ejection keeps all requests from the upstream. ejectedBy lists the entry hosts that
 	// could not connect to it if it rests on that, and doubted those that could not since
 	// the upstream last responded to any.
@@ -131,7 +134,7 @@
 // eligible reports whether the upstream may receive new requests, regardless of
 // free slots.
 func (u *upstream) eligible(now time.Time) bool {
-	return u.inService() && !now.Before(u.ejection.until) && !u.isOut() && !(u.pace.Trial() && u.pace.Resting(now))
+	return u.inService() && !now.Before(u.ejection.until) && !now.Before(u.wrongUntil) && !u.isOut() && !(u.pace.Trial() && u.pace.Resting(now))
 }
 
 // inService reports whether the upstream may receive new requests now or later.
@@ -239,6 +242,10 @@
 // first event if responded is set.
 func (c *Coordinator) recordFinish(name string, g *grant, f Finish, responded bool, now time.Time) {
 	u := g.upstream
+	if f.Ending == Complete {
+		// A trial that returns the upstream to service is the first answer of its new pace.
+		c.recordEvidence(name, g, f, responded, now)
+	}
 	c.recordPacedFinish(g, f, now)
 	switch f.Ending {
 	case Complete, Failed, Rejected:
@@ -260,10 +267,10 @@
 	case ConnectFailed:
 		c.recordUnreached(name, u, now)
 	case WrongUpstream:
-		u.unavailable = true
+		c.recordWrong(u, now)
 	case Rejected:
 		if c.paces(u) {
-			return
+			break
 		}
 		pause := minEjection / 3
 		if u.brittle {
@@ -274,7 +281,9 @@
 			u.ejection.until = until
 		}
 	}
-	c.recordEvidence(name, g, f, responded, now)
+	if f.Ending != Complete {
+		c.recordEvidence(name, g, f, responded, now)
+	}
 }
 
 // observeSpeed passes the times of a completed request to the estimator.
--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -86,6 +86,8 @@
 	lastSweep time.Time
 	// tokens is what the current round of serve has found of the room for tokens.
 	tokens tokenSearch
+	// out is the number of upstreams that were out of service for their failures then.
+	out    int
 	states stateCount
 }
 
--- a/scheduler/coordinator/reach.go
+++ b/scheduler/coordinator/reach.go
@@ -152,6 +152,25 @@
 	}
 }
 
+// wrongTime is how long an upstream receives no requests after another process has responded
+// at its address: long enough for few requests to be lost while the directory lists the former
+// address, and short if the process was one that was about to end.
+const wrongTime = time.Second
+
+// recordWrong records that another process has responded at the address of an upstream. With
+// ejection or pacing it gets no requests until its address changes, for wrongTime at most.
+// Otherwise it gets none until the directory changes.
+func (c *Coordinator) recordWrong(u *upstream, now time.Time) {
+	if !c.features.Ejection && !c.features.Pacing {
+		u.unavailable = true
+		return
+	}
+	u.wrongUntil = now.Add(wrongTime)
+	if c.paces(u) {
+		u.pace.Fail(u.fullSlots(), now)
+	}
+}
+
 // liftEjection ends an ejection for all entry hosts.
 func (u *upstream) liftEjection(now time.Time) {
 	u.ejectedBy = u.ejectedBy[:0]
