coordinator: a sole coordinator uses 0.5 of the cold rate

Beside a host of the build before, which uses 0.45 as soon as it takes over, 0.65 gave 26 requests in a second at a bound of 24.5 (the new test, which fails before). The fraction is now 0.5. TestSoleCoordinatorUsesMoreOfTheColdRate had stated 13 to 15 requests a second for 0.65; it now counts three seconds within 2, so that 0.5 (30 to 32) and 0.45 (26 to 28) differ.

--- a/scheduler/coordinator/pace.go
+++ b/scheduler/coordinator/pace.go
@@ -10,16 +10,17 @@
 
 // The fractions of the bound on a cold upstream's rate that a coordinator uses with
 // pacing. A host may believe for a moment that it is the only coordinator while another
-// one grants too, so newColdShare with soleColdShare and coldRateShare with itself stay
-// below 1. The rest, 2.4 requests a second at a bound of 24.5, is for grants that arrive up
-// to 0.13 s closer together than they were made.
+// one grants too, so coldRateShare with soleColdShare and with itself stay below 1: a host of
+// the build before uses coldRateShare as soon as it takes over. The rest, at least 1.2
+// requests a second at a bound of 24.5, is for grants that arrive closer together than they
+// were made.
 const (
 	// newColdShare applies for takeoverTime after a takeover or a suspension, when the
 	// former coordinator may still grant.
 	newColdShare = 0.25
 	// soleColdShare applies once no other host can have become the coordinator for
 	// takeoverTime.
-	soleColdShare = 0.65
+	soleColdShare = 0.5
 	// suspensionGap is the time between two advances above which the coordinator counts
 	// as suspended; it is advanced at least every 200 ms.
 	suspensionGap = 600 * time.Millisecond
--- a/scheduler/coordinator/pace_cold_test.go
+++ b/scheduler/coordinator/pace_cold_test.go
@@ -191,7 +191,7 @@
 }
 
 // TestSoleCoordinatorUsesMoreOfTheColdRate guards against a cold upstream that is left at
-// less than half of its rate although only one host can grant it, and against a new
+// the fraction that two coordinators may use although only one host can grant it, and against a new
 // coordinator that uses that rate at once.
 func TestSoleCoordinatorUsesMoreOfTheColdRate(t *testing.T) {
 	tests := map[string]struct {
@@ -199,14 +199,14 @@
 		firstLow, firstTop int
 		laterLow, laterTop int
 	}{
-		"every host alive": {complete: true, firstLow: 4, firstTop: 6, laterLow: 13, laterTop: 15},
-		"a host missing":   {firstLow: 4, firstTop: 6, laterLow: 8, laterTop: 11},
+		"every host alive": {complete: true, firstLow: 4, firstTop: 6, laterLow: 30, laterTop: 32},
+		"a host missing":   {firstLow: 4, firstTop: 6, laterLow: 26, laterTop: 28},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := &coldFleet{}
 			f.view(f.newHost(start), true, tt.complete, start)
-			f.run(start, start.Add(6*time.Second))
+			f.run(start, start.Add(8*time.Second))
 			count := func(from, to time.Duration) (n int) {
 				for _, at := range f.arrivals {
 					if d := at.Sub(start); d >= from && d < to {
@@ -218,8 +218,8 @@
 			if n := count(time.Second, 2*time.Second); n < tt.firstLow || n > tt.firstTop {
 				t.Errorf("%d requests in the second second, want %d to %d", n, tt.firstLow, tt.firstTop)
 			}
-			if n := count(4*time.Second, 5*time.Second); n < tt.laterLow || n > tt.laterTop {
-				t.Errorf("%d requests in the fifth second, want %d to %d", n, tt.laterLow, tt.laterTop)
+			if n := count(4*time.Second, 7*time.Second); n < tt.laterLow || n > tt.laterTop {
+				t.Errorf("%d requests in the fifth to seventh second, want %d to %d", n, tt.laterLow, tt.laterTop)
 			}
 		})
 	}
@@ -244,3 +244,19 @@
 		t.Errorf("%d requests in the first second after the suspension, want 3 to 6", n)
 	}
 }
+
+// TestColdBoundHoldsBesideEarlierBuild guards against a coordinator that counts as the only one and
+// uses more of a cold upstream's rate than a host of a build without pacing leaves, which takes
+// over and uses its fraction at once.
+func TestColdBoundHoldsBesideEarlierBuild(t *testing.T) {
+	f := &coldFleet{}
+	f.view(f.newHost(start), true, true, start)
+	f.run(start, start.Add(5*time.Second))
+	other := f.newHost(start.Add(5 * time.Second))
+	coordinator.WithFeatures(coordinator.Features{})(other.c)
+	f.view(other, true, false, start.Add(5*time.Second))
+	f.run(start.Add(5*time.Second), start.Add(9*time.Second))
+	if n := f.most(); float64(n) > coldBound {
+		t.Errorf("%d requests in a second, want at most %.1f", n, coldBound)
+	}
+}
