--- a/scheduler/coordinator/pace.go
+++ b/scheduler/coordinator/pace.go
@@ -10,16 +10,17 @@
 
 // The fractions of the bound on a cold upstream's rate that a coordinator uses with
 // pacing. A host may believe for a moment that it is the only coordinator while another
-// one grants too, so newColdShare with soleColdShare and coldRateShare with itself stay
-// below 1. The rest, 2.4 requests a second at a bound of 24.5, is for grants that arrive up
-// to 0.13 s closer together than they were made.
+// one grants too, so coldRateShare with soleColdShare and with itself stay below 1: a host of
+// the build before uses coldRateShare as soon as it takes over. The rest, at least 1.2
+// requests a second at a bound of 24.5, is for grants that arrive closer together than they
+// were made.
 const (
 	// newColdShare applies for takeoverTime after a takeover or a suspension, when the
 	// former coordinator may still grant.
 	newColdShare = 0.25
 	// soleColdShare applies once no other host can have become the coordinator for
 	// takeoverTime.
-	soleColdShare = 0.65
+	soleColdShare = 0.5
 	// suspensionGap is the time between two advances above which the coordinator counts
 	// as suspended; it is advanced at least every 200 ms.
 	suspensionGap = 600 * time.Millisecond
@@ -48,7 +49,8 @@
 type upstreamPace struct {
 	pacer.Pacer
 	// known is set once the upstream is listed, cold while it is cold.
-	known, cold bool
+	// out is set while it is out of service for its failures.
+	known, cold, out bool
 	// failedBy lists the hosts that could not connect to the upstream since it last
 	// responded to any.
 	failedBy []string
@@ -192,6 +194,35 @@
 	u.pace.cold = cold
 }
 
+// paceReviewed does what paceRestored does for the upstreams of a pool of which a number are out
+// of service.
+func (c *Coordinator) paceReviewed(p *pool, out int, now time.Time) {
+	if out == 0 && p.out == 0 {
+		return
+	}
+	p.out = out
+	for _, u := range p.members {
+		c.paceRestored(u, now, now)
+	}
+}
+
+// paceRestored begins slow start of an upstream that has returned from outlier ejection. It
+// counts requests that were granted since a time: that of the trial that has succeeded, if any.
+// One that can't be reached goes on with single trial requests.
+func (c *Coordinator) paceRestored(u *upstream, since, now time.Time) {
+	out := u.isOut()
+	restored := u.pace.out && !out
+	u.pace.out = out
+	if !restored || !c.features.Pacing || u.pace.Trial() {
+		return
+	}
+	c.startPace(u, since)
+	if !u.isCold(now) {
+		u.pace.Bears(len(u.running))
+	}
+	c.setColdRate(u, now)
+}
+
 // setPacedColdRate sets the rate for an upstream while it is cold: the fraction of the bound
 // that this coordinator may use, less the burst, at the upstream's pace.
 func (c *Coordinator) setPacedColdRate(u *upstream, bound float64, now time.Time) {
