--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -60,6 +60,8 @@
 	wasSettled   bool
 	viewedAt     time.Time
 	appliedFleet coordinator.Fleet
+	// workspaces are the metrics by workspace.
+	workspaces workspaceGauges
 	// home are the hosts of this host's failure domain.
 	home homeHosts
 	// seq is the ID of the last admission request.
@@ -182,8 +184,8 @@
 
 // Gauges returns metrics: the known hosts by state, whether this host is a
 // coordinator, the links to other hosts, the granted requests of this entry host
-// that have not ended, the records of origins, and the load of the pools as seen by this
-// host's own coordinator.
+// that have not ended, the records of origins, and the load of the pools and of the busiest
+// workspaces as seen by this host's own coordinator.
 func (l *Linker) Gauges() []reporter.Gauge {
 	v := l.view.Load()
 	states := map[detector.Status]int{detector.Alive: 1, detector.Suspect: 0, detector.Dead: 0}
@@ -206,8 +208,8 @@
 	for _, p := range l.loop.loads() {
 		for name, n := range map[string]int{
 			"pool_upstreams": p.Upstreams, "pool_upstreams_cold": p.Cold, "pool_upstreams_ejected": p.Ejected, "pool_upstreams_out": p.Out, "pool_upstreams_leaving": p.Leaving, "pool_upstreams_pausing": p.Pausing,
-			"pool_upstreams_paced": p.Paced,
-			"pool_slots":           p.Slots, "pool_running": p.Running, "pool_waiting": p.Waiting,
+			"pool_upstreams_paced": p.Paced, "pool_upstreams_serving": p.Serving,
+			"pool_slots": p.Slots, "pool_running": p.Running, "pool_waiting": p.Waiting,
 			"pool_upstreams_limited": p.Limited, "pool_limit_spent": p.LimitSpent,
 		} {
 			gauges = append(gauges, reporter.Gauge{Name: name, Tags: map[string]string{"pool": p.Pool}, Value: float64(n)})
@@ -218,7 +220,7 @@
 			reporter.Gauge{Name: "pool_limit_rate", Tags: map[string]string{"pool": p.Pool}, Value: p.LimitRate},
 			reporter.Gauge{Name: "pool_limit_age_seconds", Tags: map[string]string{"pool": p.Pool}, Value: p.LimitAge.Seconds()})
 	}
-	return gauges
+	return append(gauges, l.workspaces.gauges(l.loop.workspaceLoads.Load())...)
 }
 
 // boolToFloat returns 1 for true and 0 for false.
--- a/foxtaild/linker/loop.go
+++ b/foxtaild/linker/loop.go
@@ -52,6 +52,8 @@
 	sentShares sentShares
 	// poolLoads is the load of the pools at the last measurement.
 	poolLoads atomic.Pointer[[]coordinator.Load]
+	// workspaceLoads is the load of the busiest workspaces at the last measurement.
+	workspaceLoads atomic.Pointer[[]coordinator.WorkspaceLoad]
 	// cutOff is the number of entry hosts that are likely cut off from upstreams.
 	cutOff atomic.Int64
 	// measuredAt is the time of the last measurement.
@@ -127,7 +129,7 @@
 	}
 }
 
-// measureLoads records the load of the pools for metrics, once per loadPeriod.
+// measureLoads records the load of the pools and workspaces for metrics, once per loadPeriod.
 func (l *loop) measureLoads(now time.Time) {
 	if now.Sub(l.measuredAt) < loadPeriod {
 		return
@@ -135,6 +137,8 @@
 	l.measuredAt = now
 	loads := l.coordinator.Loads(now)
 	l.poolLoads.Store(&loads)
+	workspaces := l.coordinator.WorkspaceLoads(now)
+	l.workspaceLoads.Store(&workspaces)
 	l.cutOff.Store(int64(l.coordinator.EntriesCutOff(now)))
 }
 
--- a/scheduler/coordinator/coordinator.go
+++ b/scheduler/coordinator/coordinator.go
@@ -327,6 +327,8 @@
 			l.Running += len(u.running)
 			if u.isCold(now) {
 				l.Cold++
+			} else if u.eligible(now) {
+				l.Serving++
 			}
 			if u.isPaced() {
 				l.Paced++
--- a/scheduler/coordinator/explain_test.go
+++ b/scheduler/coordinator/explain_test.go
@@ -44,6 +44,9 @@
 	if d.Explanation == nil || *d.Explanation != want {
 		t.Errorf("explanation is %+v of %+v, want %+v", d.Explanation, d, want)
 	}
+	if l := c.Loads(start)[0]; l.Serving != want.Serving || l.Cold != want.Cold || l.Ejected != want.Ejected || l.Leaving != want.Leaving {
+		t.Errorf("load is %+v, want the upstreams of %+v", l, want)
+	}
 }
 
 // TestForecastWaitIsExplained guards against an early rejection that does not tell the wait by
--- a/scheduler/coordinator/share.go
+++ b/scheduler/coordinator/share.go
@@ -236,30 +236,43 @@
 	})
 }
 
-// reportShares returns the work of the maxSharers workspaces that asked for most recently,
+// busyAccount is an account that has asked for work recently.
+type busyAccount struct {
+	class
+	account *sharer.Account
+	// recent is the work that it asked at this coordinator recently, in slot seconds.
+	recent float64
+}
+
+// busiest returns the accounts of the maxSharers workspaces that asked for most recently,
 // in all pools and tiers.
-func (c *Coordinator) reportShares(now time.Time) (list []Share) {
-	if !c.features.FairShares {
-		return nil
-	}
-	type row struct {
-		Share
-		recent float64
-	}
-	var rows []row
+func (c *Coordinator) busiest(now time.Time) (list []busyAccount) {
+	var rows []busyAccount
 	for _, k := range c.shares.classes() {
 		for _, a := range c.shares.sharers[k].Busiest(maxSharers, now) {
-			rows = append(rows, row{Share{k.pool, k.tier, a.Report()}, a.Recent(now)})
+			rows = append(rows, busyAccount{k, a, a.Recent(now)})
 		}
 	}
-	slices.SortStableFunc(rows, func(a, b row) int { return -cmp.Compare(a.recent, b.recent) })
+	slices.SortStableFunc(rows, func(a, b busyAccount) int { return -cmp.Compare(a.recent, b.recent) })
 	listed := make(map[string]bool, maxSharers)
 	for _, r := range rows {
-		if !listed[r.Workspace] && len(listed) == maxSharers {
+		if !listed[r.account.Workspace()] && len(listed) == maxSharers {
 			continue
 		}
-		listed[r.Workspace] = true
-		list = append(list, r.Share)
+		listed[r.account.Workspace()] = true
+		list = append(list, r)
+	}
+	return list
+}
+
+// reportShares returns the work of the maxSharers workspaces that asked for most recently,
+// in all pools and tiers.
+func (c *Coordinator) reportShares(now time.Time) (list []Share) {
+	if !c.features.FairShares {
+		return nil
+	}
+	for _, b := range c.busiest(now) {
+		list = append(list, Share{b.pool, b.tier, b.account.Report()})
 	}
 	return list
 }
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -205,6 +205,8 @@
 	// Ejected count those of them that are warming up and those that receive no
 	// requests for a while after failures.
 	Upstreams, Cold, Ejected int
+	// Serving counts the upstreams that may receive requests and are not warming up.
+	Serving int
 	// Leaving counts the upstreams that have said that their process ends soon; the other
 	// numbers leave them out.
 	Leaving int
