commander: shares by workspace and states of pools

foxtailctl shares reads the metrics of hosts and shows, for the coordinators among them, the upstreams of each pool by state with the work rate, and the work that each workspace asked for, was served, was not served and is owed.

--- a/foxtailctl/commander/commander.go
+++ b/foxtailctl/commander/commander.go
@@ -67,6 +67,7 @@
 	Story      storyCmd      `cmd:"" help:"Show what happened to a request, from hosts' logs."`
 	Day        dayCmd        `cmd:"" help:"Summarize hosts' logs by time and reason."`
 	Terms      termsCmd      `cmd:"" help:"Show what upstreams have said of themselves, from hosts' logs."`
+	Shares     sharesCmd     `cmd:"" help:"Show the shares of workspaces and the state of pools, from hosts' metrics."`
 	Keygen     keygenCmd     `cmd:"" help:"Create an API key and its hash for the configuration."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 	Completion completionCmd `cmd:"" help:"Print a completion script for a shell."`
--- a/foxtailctl/commander/hosts.go
+++ b/foxtailctl/commander/hosts.go
@@ -218,7 +218,7 @@
 }
 
 // commandNames are the commands that the completion scripts offer.
-const commandNames = "check bundle diff status explain keygen version completion"
+const commandNames = "check bundle diff status explain shares keygen version completion"
 
 // completionScripts maps each shell to its completion script.
 var completionScripts = map[string]string{
