commander, docs: names in metrics are sanitized

The metrics reporter replaces characters other than letters and digits by _, also in label values, so a pool or workspace appears under that name.

--- a/foxtailctl/commander/shares.go
+++ b/foxtailctl/commander/shares.go
@@ -21,7 +21,7 @@
 // sharesCmd shows shares by workspace and the state of pools, from the metrics of hosts.
 type sharesCmd struct {
 	Hosts []string `help:"IP addresses and ports at which hosts serve /metrics, separated by commas. Only coordinators count." required:"" env:"FOXTAILCTL_HOSTS" sep:","`
-	Pool  string   `help:"Show only this pool."`
+	Pool  string   `help:"Show only this pool, named as in the metrics: with _ for all but letters and digits."`
 }
 
 // poolState is the state of a pool's upstreams, summed over the coordinators.
