--- a/scheduler/coordinator/queue.go
+++ b/scheduler/coordinator/queue.go
@@ -323,6 +323,12 @@
 		}
 		return 1
 	}
+	return byTimeLeft(a, b)
+}
+
+// byTimeLeft orders queued requests of the same rank: first those that can still meet their
+// objective, then by the time left to meet it.
+func byTimeLeft(a, b *waiter) int {
 	if a.late != b.late {
 		if b.late {
 			return -1
--- a/scheduler/coordinator/share.go
+++ b/scheduler/coordinator/share.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"foxtaillug.org/scheduler/estimator"
+	"foxtaillug.org/scheduler/balancer"
 	"foxtaillug.org/scheduler/sharer"
 )
 
@@ -95,13 +95,7 @@
 	if a.share.order != b.share.order {
 		return cmp.Compare(a.share.order, b.share.order)
 	}
-	if a.late != b.late {
-		if b.late {
-			return -1
-		}
-		return 1
-	}
-	return a.sendBy.Compare(b.sendBy)
+	return byTimeLeft(a, b)
 }
 
 // sharer returns the sharer of a class, creating it if needed.
@@ -120,11 +114,8 @@
 // workOf returns the work of a request, in seconds that it holds a slot of a typical
 // upstream.
 func workOf(prompt, output int) float64 {
-	e := estimator.New()
-	if prompt == 0 && output == 0 {
-		return e.CallTime().Seconds()
-	}
-	return (e.FirstTokenTime(prompt) + e.GenerationTime(output)).Seconds()
+	_, total := balancer.Work(prompt, output)
+	return total.Seconds()
 }
 
 // isFirst reports whether this is the first admission of a request, whose work counts as
