--- a/scheduler/coordinator/brittle_test.go
+++ b/scheduler/coordinator/brittle_test.go
@@ -174,6 +174,7 @@
 // TestBrittleUpstreamsDoNotFallOver sends more than the upstreams can run, while coordinators
 // are killed and hosts decide for themselves.
 func TestBrittleUpstreamsDoNotFallOver(t *testing.T) {
+	t.Parallel()
 	tests := map[string]brittleScenario{
 		"calm":                     {hosts: 9, most: 1},
 		"coordinator killed":       {hosts: 9, most: 2, kill: 6 * time.Second},
--- a/scheduler/coordinator/eject_back_test.go
+++ b/scheduler/coordinator/eject_back_test.go
@@ -12,6 +12,7 @@
 // TestSoundUpstreamIsBackInTime guards against upstreams that are left out although they are sound
 // again, also while requests are few, may not be retried, or take long.
 func TestSoundUpstreamIsBackInTime(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		rate      float64
 		retryable bool
--- a/scheduler/coordinator/eject_test.go
+++ b/scheduler/coordinator/eject_test.go
@@ -166,6 +166,7 @@
 // TestFaultOfADomain guards against the known fault: 3 of 23 upstreams of a failure domain answer
 // nearly all requests with an error, in 7 ms, while the others are full.
 func TestFaultOfADomain(t *testing.T) {
+	t.Parallel()
 	const from, to = 2 * time.Second, 7 * time.Second
 	faulty := []int{3, 11, 20}
 	play := func(features coordinator.Features, retryable bool) *faultPlay {
@@ -209,6 +210,7 @@
 // TestGreyUpstreamIsEjected guards against upstreams that fail a part of their requests, in each of
 // the ways in which they do.
 func TestGreyUpstreamIsEjected(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		failure outcome
 		rate    float64
@@ -261,6 +263,7 @@
 // TestUpstreamsThatFailAlikeStay guards against ejections where the request or the service is at
 // fault: plain services answer some sound requests with an error.
 func TestUpstreamsThatFailAlikeStay(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		rate func(at time.Duration) float64
 		took time.Duration
--- a/scheduler/coordinator/limit_test.go
+++ b/scheduler/coordinator/limit_test.go
@@ -197,6 +197,7 @@
 // TestLimitHoldsWhileCoordinatorsChange lets hosts elect other coordinators, restart, part
 // and decide for themselves, in series that overlap, while an upstream names a limit.
 func TestLimitHoldsWhileCoordinatorsChange(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		// elect, restart and alone are the mean times between such events, 0 for never. An
 		// election parts the fleet into up to parts.
--- a/scheduler/coordinator/memory_replay_test.go
+++ b/scheduler/coordinator/memory_replay_test.go
@@ -303,6 +303,7 @@
 // TestLongPromptsDelayFewStreams guards against upstreams that get several long prompts at
 // once and delay the events of the streams beside them.
 func TestLongPromptsDelayFewStreams(t *testing.T) {
+	t.Parallel()
 	steady := func(n float64) func(time.Duration) float64 { return func(time.Duration) float64 { return n } }
 	tests := map[string]batchLoad{
 		"below capacity":  {rate: steady(16), longer: 1, memory: batchMemory},
--- a/scheduler/coordinator/overflow_test.go
+++ b/scheduler/coordinator/overflow_test.go
@@ -29,6 +29,7 @@
 // TestUnevenDemandIsServedEvenly guards against a comparison of free slots: a domain
 // with slow engines kept its excess while a faster one could have served it in time.
 func TestUnevenDemandIsServedEvenly(t *testing.T) {
+	t.Parallel()
 	for name, load := range uneven {
 		t.Run(name, func(t *testing.T) {
 			var before, after tally
@@ -97,6 +98,7 @@
 // TestOneFreeDomainIsNotFlooded guards against herding: each of five coordinators used the
 // free slots that all of them saw.
 func TestOneFreeDomainIsNotFlooded(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		off, on := runFleet(crowd(false), seed, 8*time.Second), runFleet(crowd(true), seed, 8*time.Second)
 		t.Logf("seed %d: most work queued %v by free slots, %v by forecast; %+v, %+v", seed, off.domains["f"].maxQueued, on.domains["f"].maxQueued, off.total(), on.total())
@@ -143,6 +145,7 @@
 // TestStaleSummaries guards against redirects to rooms that are no longer there, and against
 // doing worse than the comparison of free slots where summaries are lost.
 func TestStaleSummaries(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		lost func(from, to string, at time.Duration) bool
 		// none is the time in which no request may be redirected.
@@ -229,6 +232,7 @@
 // TestOverflowBesideAnEarlierBuild guards against a coordinator without rooms being left out,
 // or being flooded, by those that have them.
 func TestOverflowBesideAnEarlierBuild(t *testing.T) {
+	t.Parallel()
 	var before tally
 	for seed := range uint64(4) {
 		before = before.plus(runFleet(uneven["demand moves"], seed, 15*time.Second).total())
--- a/scheduler/coordinator/pace_cold_test.go
+++ b/scheduler/coordinator/pace_cold_test.go
@@ -157,6 +157,7 @@
 // resumes with its former view, and after a kill. Hosts that decide for themselves send it
 // nothing.
 func TestColdBoundHoldsWhilePaced(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := &coldFleet{t: t, pause: 900 * time.Millisecond}
 		leader := f.newHost(start)
--- a/scheduler/coordinator/pace_scenario_test.go
+++ b/scheduler/coordinator/pace_scenario_test.go
@@ -101,6 +101,7 @@
 // and against trial requests that cost more callers their first try than fixed ejections do.
 // The design note has its figures with -pace.seeds=16.
 func TestRecoveryWithAndWithoutPacing(t *testing.T) {
+	t.Parallel()
 	// Of loads above the capacity, the lowest tier varies by several in 100 with the order
 	// of events alone.
 	slack := [3]float64{0.01, 0.02, 0.06}
--- a/scheduler/coordinator/retry_test.go
+++ b/scheduler/coordinator/retry_test.go
@@ -81,6 +81,7 @@
 // TestRetryBudgetWhileCoordinatorsChange changes coordinators, restarts hosts and lets
 // failure domains decide alone, in series that overlap.
 func TestRetryBudgetWhileCoordinatorsChange(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		f := &retryFleet{rand: rand.New(rand.NewPCG(seed, 1)), standalone: make([]time.Time, retryDomains)}
 		for domain := range retryDomains {
--- a/scheduler/coordinator/share_property_test.go
+++ b/scheduler/coordinator/share_property_test.go
@@ -33,6 +33,7 @@
 // requests or on how many are asked: over 10 s, workspaces that ask for more than their
 // share are served the same work, no slot is idle, and one that asks for little is served.
 func TestGreedyWorkspacesGetEqualWork(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		const (
 			slots, from, to = 12, 3 * time.Second, 13 * time.Second
@@ -128,6 +129,7 @@
 // three kinds of requests, of which streams hold a slot for longest, come from workspaces
 // of two tiers, one of which asks for far more than the others.
 func TestKindsAndSizes(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := &shareTrial{features: coordinator.Features{FairShares: true}, domains: 1, slots: 18, length: 12 * time.Second, countFrom: 2 * time.Second, seed: rapid.Uint64().Draw(t, "seed")}
 		n := rapid.IntRange(3, 8).Draw(t, "workspaces")
--- a/scheduler/coordinator/share_trial_test.go
+++ b/scheduler/coordinator/share_trial_test.go
@@ -248,6 +248,7 @@
 // than the capacity taking the shares of those that ask for little, with one and with
 // several coordinators, after a kill, and while one of them gets no summaries.
 func TestSmallWorkspacesAreServedBesideABigOne(t *testing.T) {
+	t.Parallel()
 	tests := map[string]shareTrial{
 		"one coordinator":              {domains: 1, slots: 24, length: 15 * time.Second},
 		"three coordinators":           {domains: 3, slots: 8, length: 15 * time.Second},
