--- a/scheduler/coordinator/overflow.go
+++ b/scheduler/coordinator/overflow.go
@@ -305,8 +305,8 @@
 	return slices.DeleteFunc(slices.Clone(o.peers), func(x balancer.Peer) bool { return !c.mayGrant(p, x.Domain, r, now) })
 }
 
-// peersOf returns the failure domains whose coordinators have upstreams of a pool and were
-// heard of recently, in order.
+// peersOf returns the failure domains whose coordinators have upstreams of a pool and have
+// sent a summary recently, in order.
 func (c *Coordinator) peersOf(p *pool, now time.Time) (peers []balancer.Peer) {
 	senders := c.senders(p, now)
 	for _, d := range slices.Sorted(maps.Keys(c.peers)) {
--- a/scheduler/coordinator/overflow_link_test.go
+++ b/scheduler/coordinator/overflow_link_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// TestRoomOfColdUpstreamsWithoutArrivals guards against a domain whose upstreams are all cold
-// and that had no request yet being told with all of its slots.
+// TestRoomOfColdUpstreamsWithoutArrivals guards against a domain that reports all of its
+// slots as free although its upstreams are cold and it has had no request yet.
 func TestRoomOfColdUpstreamsWithoutArrivals(t *testing.T) {
 	table, err := router.NewTable(router.Document{Version: 1, Pools: []router.Pool{{Name: "engines", ColdRate: 11}}})
 	if err != nil {
--- a/scheduler/coordinator/pace.go
+++ b/scheduler/coordinator/pace.go
@@ -145,7 +145,7 @@
 }
 
 // paceAdopted records that an upstream runs a request that another coordinator granted: it
-// counts as one that answers, and bears at least what it runs.
+// counts as one that answers, and can sustain at least what it runs.
 func (c *Coordinator) paceAdopted(u *upstream, now time.Time) {
 	if !c.features.Pacing {
 		return
@@ -155,7 +155,7 @@
 		c.startPace(u, now)
 	}
 	if !u.isCold(now) {
-		u.pace.Bears(len(u.running))
+		u.pace.RaiseTo(len(u.running))
 	}
 }
 
@@ -218,7 +218,7 @@
 	}
 	c.startPace(u, since)
 	if !u.isCold(now) {
-		u.pace.Bears(len(u.running))
+		u.pace.RaiseTo(len(u.running))
 	}
 	c.setColdRate(u, now)
 }
--- a/scheduler/coordinator/pace_cold_test.go
+++ b/scheduler/coordinator/pace_cold_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// coldBound is the number of requests that a cold upstream bears in any second.
+	// coldBound is the number of requests that a cold upstream tolerates in any second.
 	coldBound = 13*1.5 + 5
 	// coldTick is the step of the simulation, coldAsk the time between two requests of a
 	// host, which together ask for more than coldBound, and coldDelivery the longest time from a grant to
@@ -76,7 +76,7 @@
 	return time.Duration(rapid.IntRange(int(least/coldTick), int(most/coldTick)).Draw(f.t, name)) * coldTick
 }
 
-// run sends more requests to each host than the upstream bears. The first grants after a pause
+// run sends more requests to each host than the upstream tolerates. The first grants after a pause
 // arrive late and the others at once, so as many as possible arrive within a second.
 func (f *coldFleet) run(from, to time.Time) {
 	for now := from; now.Before(to); now = now.Add(coldTick) {
--- a/scheduler/coordinator/pace_replay_test.go
+++ b/scheduler/coordinator/pace_replay_test.go
@@ -22,7 +22,7 @@
 	recoveryCold = 3 * time.Second
 	// listingDelay is the time after which the directory shows a change of an engine.
 	listingDelay = 300 * time.Millisecond
-	// thrashSlots is the number of requests that a thrashing engine bears, and thrashFactor
+	// thrashSlots is the number of requests that a thrashing engine runs well, and thrashFactor
 	// how much longer those beyond it take.
 	thrashSlots  = 2
 	thrashFactor = 8
--- a/scheduler/pacer/pacer.go
+++ b/scheduler/pacer/pacer.go
@@ -1,4 +1,4 @@
-// Package pacer finds the load that an upstream bears after it has started or
+// Package pacer finds the load that an upstream can sustain after it has started or
 // recovered, from how it answers.
 //
 // A Pacer holds a window, the number of requests that the upstream gets at once,
@@ -91,8 +91,8 @@
 	}
 }
 
-// Bears raises the window to a number of requests that the upstream is known to run.
-func (p *Pacer) Bears(running int) {
+// RaiseTo raises the window to a number of requests that the upstream is known to run.
+func (p *Pacer) RaiseTo(running int) {
 	if p.paced && !p.trial && !p.reduced {
 		p.window = max(p.window, float64(running))
 	}
