--- a/foxtaild/linker/shares_test.go
+++ b/foxtaild/linker/shares_test.go
@@ -12,8 +12,8 @@
 	"foxtaillug.org/scheduler/registrar"
 )
 
-// TestSharesReachEntryHosts guards against entry hosts that are not told which workspaces
-// are over their share, are told of none for ever, or are told by a host that does not
+// TestSharesReachEntryHosts guards against entry hosts that are not sent which workspaces
+// are over their share, are never sent an empty list, or are sent one by a host that does not
 // coordinate.
 func TestSharesReachEntryHosts(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/scheduler/coordinator/eject.go
+++ b/scheduler/coordinator/eject.go
@@ -85,7 +85,7 @@
 // known.
 func (g *grant) adopted() bool { return g.req.Pool == "" }
 
-// content returns a hash that tells the request apart from others. Entry hosts of an earlier build
+// content returns a hash that distinguishes the request from others. Entry hosts of an earlier build
 // don't send one; those of their requests that look alike count as one.
 func (r *Request) content() uint64 {
 	if r.Content != 0 {
--- a/scheduler/coordinator/memory_replay_test.go
+++ b/scheduler/coordinator/memory_replay_test.go
@@ -52,7 +52,7 @@
 	sent, first, lastEvent time.Time
 	generated              int
 	// pause is the longest time between two events, crowded the longest in which no prompt
-	// took longer than longestPause by itself.
+	// alone took longer than longestPause.
 	pause, crowded time.Duration
 	done, refused  bool
 }
--- a/scheduler/coordinator/overflow_rules_test.go
+++ b/scheduler/coordinator/overflow_rules_test.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// TestSummaryTellsRooms checks what the others are told: speeds as learned, cold upstreams
+// TestSummaryTellsRooms checks what summaries report to the others: speeds as learned, cold upstreams
 // for no more than they may get, and nothing without the feature.
 func TestSummaryTellsRooms(t *testing.T) {
 	c := newOverflowing("d")
--- a/scheduler/coordinator/share_overflow_test.go
+++ b/scheduler/coordinator/share_overflow_test.go
@@ -75,7 +75,7 @@
 
 // TestRedirectedWorkNoLongerArrives guards against work that is counted as arriving at one
 // rank and taken out at another, because its workspace went over its share meanwhile: the
-// waits told to the others were then too long.
+// waits reported to the others were then too long.
 func TestRedirectedWorkNoLongerArrives(t *testing.T) {
 	c := withShares(coordinator.Features{FairShares: true, Overflow: true})
 	f := coordinator.Fleet{Hosts: 2, Share: 1, QuotaShare: 1, Domain: "d", Scope: []string{"d"}, Regions: map[string]string{"d": "r", "near": "r"}}
--- a/scheduler/coordinator/types.go
+++ b/scheduler/coordinator/types.go
@@ -46,7 +46,7 @@
 	// Digest identifies the request's content for owners that quarantine requests,
 	// Prefix the start of its prompt; 0 means none.
 	Digest, Prefix uint64
-	// Content is a short hash of the request's content that tells requests apart which an
+	// Content is a short hash of the request's content that distinguishes requests which an
 	// upstream has failed; 0 means that it is not known.
 	Content uint16
 	// Retryable reports whether the request may be sent to a second upstream after it may have
