directory, forwarder: grace periods of entries and the directory's age in the logs

The logs could not tell whether a late request to an upstream that had left came from an old directory or from an entry in its grace period after an outage of the store. Both are logged now: a line at the beginning and the end of a grace period, and directoryAgeMs, the age of the directory at an attempt, in the line of each request. Gauge upstreams_kept. No decision changes.

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -35,6 +35,8 @@
 	listed           bool
 	storeRespondedAt time.Time
 	peerSyncedAt     time.Time
+	// kept holds the entries in their grace period that have been logged.
+	kept map[string]time.Time
 }
 
 // New returns an empty directory.
@@ -76,6 +78,7 @@
 	apply(d.registrar)
 	d.position = p
 	d.changes.Add(1)
+	d.logKept()
 }
 
 // Listing is a complete listing of the store.
@@ -98,6 +101,7 @@
 	d.registrar.ReplaceEvacuations(l.Evacuated)
 	d.position, d.listed = l.Position, true
 	d.changes.Add(1)
+	d.logKept()
 }
 
 // beginEra prepares the registrar for a position of a later era, in which the store has
@@ -122,8 +126,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.storeRespondedAt = now
+	d.prune(now)
+}
+
+// prune ends the grace periods that are over. The caller holds the lock.
+func (d *Directory) prune(now time.Time) {
 	if d.registrar.Prune(now) {
 		d.changes.Add(1)
+		d.logKept()
 	}
 }
 
@@ -134,6 +144,29 @@
 	d.registrar.MarkStoreUnavailable(now)
 }
 
+// logKept logs the grace periods of entries that have begun or ended since the last call.
+// The caller holds the lock.
+func (d *Directory) logKept() {
+	kept := d.registrar.Kept()
+	for id, until := range kept {
+		if d.kept[id] != until {
+			d.log.Info("upstream kept", "upstream", id, "forMs", time.Until(until).Milliseconds(), "position", d.position.String())
+		}
+	}
+	for id := range d.kept {
+		if _, ok := kept[id]; ok {
+			continue
+		}
+		_, published := d.registrar.Entry(id)
+		d.log.Info("upstream no longer kept", "upstream", id, "published", published, "position", d.position.String())
+	}
+	d.kept = kept
+}
+
+// Age returns how long ago the store last responded to this host, or to a peer that sends
+// its updates to this host.
+func (d *Directory) Age(now time.Time) time.Duration { return now.Sub(d.LastStoreResponse()) }
+
 // LastStoreResponse returns when the store last responded to this host, or to a
 // peer that sends its updates to this host.
 func (d *Directory) LastStoreResponse() time.Time {
@@ -213,6 +246,7 @@
 		{Name: "store_revision", Value: float64(position.Revision)},
 		{Name: "store_era", Value: float64(position.Era)},
 		{Name: "upstreams_usable", Value: float64(usable)},
+		{Name: "upstreams_kept", Value: float64(d.countKept())},
 	}
 	if at := d.LastStoreResponse(); !at.IsZero() {
 		gauges = append(gauges, reporter.Gauge{Name: "store_age_seconds", Value: now.Sub(at).Seconds()})
@@ -220,6 +254,13 @@
 	return gauges
 }
 
+// countKept returns the number of entries in their grace period.
+func (d *Directory) countKept() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.kept)
+}
+
 // RecordPeerSync records that a peer has sent all that it had read from the store
 // at a time.
 func (d *Directory) RecordPeerSync(at time.Time) {
@@ -231,9 +272,7 @@
 	if at.After(d.storeRespondedAt) {
 		d.storeRespondedAt = at
 	}
-	if d.registrar.Prune(time.Now()) {
-		d.changes.Add(1)
-	}
+	d.prune(time.Now())
 }
 
 // PeerSyncedWithin reports whether the latest time that RecordPeerSync was called
--- a/foxtaild/directory/snapshot.go
+++ b/foxtaild/directory/snapshot.go
@@ -154,6 +154,7 @@
 	d.position = s.position()
 	d.listed = d.listed || s.Full
 	d.changes.Add(1)
+	d.logKept()
 	d.log.Info("directory taken over from a peer", "position", d.position.String(), "full", s.Full, "upstreams", len(entries), "removed", len(s.Removed))
 	return nil
 }
--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -197,6 +197,7 @@
 	_ = a.conn.SetDeadline(a.r.Deadline)
 	head := a.codec.Encode(make([]byte, 0, headBufferBytes), a.r, Dispatch{Upstream: entry, Remaining: left, LastEventID: a.lastEventID, Trace: traceContext(ctx)})
 	a.markTried(a.grant.Upstream, entry.Version)
+	a.directoryAge = max(a.directoryAge, a.directory.Age(now))
 	a.dispatched++
 	a.possibleRuns++
 	a.start, a.upstream, a.version = now, entry, entry.Version
--- a/foxtaild/forwarder/forwarder.go
+++ b/foxtaild/forwarder/forwarder.go
@@ -217,6 +217,8 @@
 	limits  []string
 	// owner is the host that decided on the last admission request.
 	owner string
+	// directoryAge is the highest age of the directory at an attempt.
+	directoryAge time.Duration
 	// firstEvent is the time from the request's arrival to its first event.
 	// longestPause is the longest time between two events, and lastEventAt is
 	// when the last one arrived.
@@ -279,7 +281,7 @@
 		"retryAfterMs", h.refusal.RetryAfter.Milliseconds(),
 		"resumes", r.Resumes, "after", r.LastEventID, "prompt", r.Prompt, "output", r.Output, "cost", r.Cost, "ageMs", r.Age.Milliseconds(),
 		"waitedMs", h.waited.Milliseconds(), "firstMs", h.firstEvent.Milliseconds(), "pauseMs", h.longestPause.Milliseconds(), "tookMs", took.Milliseconds(),
-		"owner", h.owner, "upstreams", h.tried, "upstreamVersions", h.versions, "streamVersions", h.relayedVersions, "endings", h.endings, "limits", h.limits, "digest", r.logDigest(), "parts", r.logParts(), "handedOverBy", r.HandedOverBy, h.explanation(res))
+		"owner", h.owner, "directoryAgeMs", h.directoryAge.Milliseconds(), "upstreams", h.tried, "upstreamVersions", h.versions, "streamVersions", h.relayedVersions, "endings", h.endings, "limits", h.limits, "digest", r.logDigest(), "parts", r.logParts(), "handedOverBy", r.HandedOverBy, h.explanation(res))
 	if r.HandedOverBy != "" {
 		// The caller's host counts it.
 		return
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -135,6 +135,8 @@
 	Usable(id string, now time.Time) (registrar.Entry, bool)
 	// Stride returns the number of tokens per event in a pool's streams.
 	Stride(pool string) int
+	// Age returns how long ago the source of the entries was known to hold them.
+	Age(now time.Time) time.Duration
 }
 
 // Responder sends the response to a caller.
--- a/foxtaild/internal/receiver/codec.go
+++ b/foxtaild/internal/receiver/codec.go
@@ -80,3 +80,6 @@
 
 // Stride returns 1: each event of a stream holds one token.
 func (upstreamDirectory) Stride(string) int { return 1 }
+
+// Age implements forwarder.Directory: the upstreams are those of the configuration in force.
+func (upstreamDirectory) Age(time.Time) time.Duration { return 0 }
--- a/foxtaild/internal/receiver/forward_test.go
+++ b/foxtaild/internal/receiver/forward_test.go
@@ -129,6 +129,8 @@
 
 func (*fixedDirectory) Stride(string) int { return 1 }
 
+func (*fixedDirectory) Age(time.Time) time.Duration { return 0 }
+
 // alwaysUsable is more calls of Usable than any test makes.
 const alwaysUsable = 1000
 
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -56,6 +56,8 @@
 	// evacuated holds the evacuated failure domains. The time is the end of an
 	// evacuation that a restored store does not have; it is zero for others.
 	evacuated map[string]time.Time
+	// kept holds the IDs of the records in their grace period.
+	kept map[string]bool
 	// storeDownAt is the last time at which the store could not be read.
 	storeDownAt time.Time
 	changes     uint64
@@ -91,7 +93,7 @@
 // New returns an empty directory.
 func New() *Registrar {
 	return &Registrar{
-		records: make(map[string]*record), evacuated: make(map[string]time.Time), removed: make(map[string]removal),
+		records: make(map[string]*record), kept: make(map[string]bool), evacuated: make(map[string]time.Time), removed: make(map[string]removal),
 		left: make(map[string]int64), departed: make(map[string]int64), held: make(map[string]Entry),
 		versions: make(map[poolVersion]int),
 	}
@@ -124,6 +126,7 @@
 		r.countVersion(old.Entry, -1)
 	}
 	r.records[e.ID] = &record{Entry: e, changed: r.changes}
+	delete(r.kept, e.ID)
 	delete(r.removed, e.ID)
 }
 
@@ -137,6 +140,7 @@
 	if !old.Leaving && !r.storeDownAt.IsZero() && now.Sub(r.storeDownAt) < outageGrace {
 		if old.expiresAt.IsZero() {
 			old.expiresAt = r.storeDownAt.Add(outageGrace)
+			r.kept[id] = true
 		}
 		return
 	}
@@ -151,6 +155,7 @@
 		return
 	}
 	delete(r.records, id)
+	delete(r.kept, id)
 	r.countVersion(old.Entry, -1)
 	r.changes++
 	if len(r.removed) >= maxRemoved {
@@ -160,6 +165,16 @@
 	r.removed[id] = removal{changed: r.changes, born: old.Born, leaving: old.Leaving}
 }
 
+// Kept returns the ends of the grace periods of the entries that disappeared around a
+// store outage, by ID.
+func (r *Registrar) Kept() map[string]time.Time {
+	kept := make(map[string]time.Time, len(r.kept))
+	for id := range r.kept {
+		kept[id] = r.records[id].expiresAt
+	}
+	return kept
+}
+
 // Changes returns the number of changes of entries so far.
 func (r *Registrar) Changes() uint64 { return r.changes }
 
--- a/scheduler/registrar/restore.go
+++ b/scheduler/registrar/restore.go
@@ -74,8 +74,8 @@
 // Prune removes the entries and ends the evacuations whose grace period is over. It
 // returns whether there were any.
 func (r *Registrar) Prune(now time.Time) (pruned bool) {
-	for id, u := range r.records {
-		if !u.expiresAt.IsZero() && !now.Before(u.expiresAt) {
+	for id := range r.kept {
+		if !now.Before(r.records[id].expiresAt) {
 			r.Forget(id)
 			pruned = true
 		}
