registrar, directory: the end of a grace period travels with the entry

What callers saw: requests reached an upstream whose entry had left the store, from hosts that do not read the store, for longer than the readers themselves used it, some without end.

Change: the beginning of a grace period is a change with the position of the entry's removal; what remains of the period is sent with the entry, and each host ends it itself. A host that has removed the entry does not take it again from one in its grace period.

--- a/foxtaild/directory/snapshot.go
+++ b/foxtaild/directory/snapshot.go
@@ -16,6 +16,9 @@
 	// ColdFor is the remaining warm-up time. It is sent in place of ColdUntil
 	// because the hosts' clocks differ.
 	ColdFor time.Duration
+	// ExpiresIn is what remains of the grace period of an entry that disappeared around
+	// an outage of the store; 0 for other entries. Receivers end the period themselves.
+	ExpiresIn time.Duration
 }
 
 // Snapshot is the content of a directory, or its changes, as sent to a peer.
@@ -63,6 +66,7 @@
 func (d *Directory) Snapshot(c Cursor, now time.Time) (s Snapshot, next Cursor, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.prune(now)
 	changes := d.changes.Load()
 	if !d.listed || d.table.Table() == nil || c.full && c.changes == changes {
 		return s, c, false
@@ -80,10 +84,13 @@
 		s.Removed = removed
 	}
 	for _, e := range changed {
-		u := Upstream{Entry: e}
+		u := Upstream{Entry: e.Entry}
 		if e.ColdUntil.After(now) {
 			u.ColdFor = e.ColdUntil.Sub(now)
 		}
+		if !e.ExpiresAt.IsZero() {
+			u.ExpiresIn = e.ExpiresAt.Sub(now)
+		}
 		u.ColdUntil = time.Time{}
 		s.Upstreams = append(s.Upstreams, u)
 	}
@@ -133,23 +140,18 @@
 		return nil
 	}
 	d.beginEra(s.position(), now)
-	entries := make([]registrar.Entry, 0, len(s.Upstreams))
+	entries := make([]registrar.Listed, 0, len(s.Upstreams))
 	for _, u := range s.Upstreams {
 		if u.ColdFor > 0 {
 			u.ColdUntil = now.Add(u.ColdFor)
 		}
-		entries = append(entries, u.Entry)
-	}
-	if s.Full {
-		d.registrar.Replace(entries, now)
-	} else {
-		for _, e := range entries {
-			d.registrar.Put(e)
-		}
-		for _, id := range s.Removed {
-			d.registrar.Forget(id)
+		e := registrar.Listed{Entry: u.Entry}
+		if u.ExpiresIn > 0 {
+			e.ExpiresAt = now.Add(u.ExpiresIn)
 		}
+		entries = append(entries, e)
 	}
+	d.registrar.Adopt(entries, s.Removed, s.Full, now)
 	d.registrar.ReplaceEvacuations(s.Evacuated)
 	d.position = s.position()
 	d.listed = d.listed || s.Full
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -78,6 +78,14 @@
 	versionChanges uint64
 }
 
+// Listed is an entry as hosts send it to each other.
+type Listed struct {
+	Entry
+	// ExpiresAt is the end of the grace period of an entry that disappeared around a
+	// store outage; zero for other entries.
+	ExpiresAt time.Time
+}
+
 // removal is an entry that was removed.
 type removal struct {
 	// changed is the value of Registrar.changes at the removal.
@@ -139,14 +147,20 @@
 	}
 	if !old.Leaving && !r.storeDownAt.IsZero() && now.Sub(r.storeDownAt) < outageGrace {
 		if old.expiresAt.IsZero() {
-			old.expiresAt = r.storeDownAt.Add(outageGrace)
-			r.kept[id] = true
+			r.expire(old, r.storeDownAt.Add(outageGrace))
 		}
 		return
 	}
 	r.Forget(id)
 }
 
+// expire sets the end of an entry's grace period.
+func (r *Registrar) expire(u *record, until time.Time) {
+	r.changes++
+	u.expiresAt, u.changed = until, r.changes
+	r.kept[u.ID] = true
+}
+
 // Forget removes an entry without a grace period.
 func (r *Registrar) Forget(id string) {
 	delete(r.held, id)
@@ -184,10 +198,10 @@
 
 // Since returns the entries that changed and the IDs of those that were removed
 // after an earlier value of Changes.
-func (r *Registrar) Since(changes uint64) (changed []Entry, removed []string) {
+func (r *Registrar) Since(changes uint64) (changed []Listed, removed []string) {
 	for _, u := range r.records {
 		if u.changed > changes {
-			changed = append(changed, u.Entry)
+			changed = append(changed, Listed{u.Entry, u.expiresAt})
 		}
 	}
 	for id, x := range r.removed {
@@ -206,6 +220,11 @@
 		listed[e.ID] = true
 		r.putListed(e)
 	}
+	r.removeUnlisted(listed, now)
+}
+
+// removeUnlisted removes the entries that are not in a complete listing.
+func (r *Registrar) removeUnlisted(listed map[string]bool, now time.Time) {
 	for id := range r.records {
 		if !listed[id] {
 			r.Remove(id, now)
@@ -213,6 +232,45 @@
 	}
 }
 
+// Adopt applies what another host holds: everything, or what has changed since it last
+// sent this one its entries.
+func (r *Registrar) Adopt(changed []Listed, removed []string, full bool, now time.Time) {
+	empty := r.changes == 0
+	listed := make(map[string]bool, len(changed))
+	for _, l := range changed {
+		listed[l.ID] = true
+		switch {
+		case !l.ExpiresAt.IsZero():
+			r.keep(l, empty)
+		case full:
+			r.putListed(l.Entry)
+		default:
+			r.Put(l.Entry)
+		}
+	}
+	if full {
+		r.removeUnlisted(listed, now)
+	}
+	for _, id := range removed {
+		r.Forget(id)
+	}
+}
+
+// keep applies an entry that is in its grace period at another host. One that has been
+// removed here stays removed.
+func (r *Registrar) keep(l Listed, empty bool) {
+	old := r.records[l.ID]
+	if old == nil && !empty {
+		return
+	}
+	until := l.ExpiresAt
+	if old != nil && !old.expiresAt.IsZero() && old.expiresAt.Before(until) {
+		until = old.expiresAt
+	}
+	r.Put(l.Entry)
+	r.expire(r.records[l.ID], until)
+}
+
 // Evacuate starts or ends the evacuation of a failure domain, as the store says.
 func (r *Registrar) Evacuate(domain string, on bool) {
 	if on {
