linker: updates that were long on their way count as old

What callers saw: with updates of the directory delayed by a full link, hosts that do not read the store sent requests to an upstream for as long after it had said that it leaves.

Cause: a host took the age that its source had stated when it queued the update, and counted from the moment at which it read it. The way was left out, so a host whose updates came 5 s late believed its directory to be fresh and did not read for itself, with a deadline of 4 s.

Evidence: TestUpdatesDelayedOnTheirWayCountAsOld, 2 of 5 cases failed on the code before (2.7 s and 5 s on the way).

Change: a follower marks a moment of its own clock and the source names the last mark with the time between its arrival and the store's last response. The time on the way, in queues and in buffers counts in full. Hosts of earlier builds name no mark and their Age is used as before.

Measured: the test passes; a host with 1.8 s on the way still does not read the store itself.

--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,6 +50,23 @@
 	lastSent time.Time
 	// synced is the time up to which the host has been told that it has everything.
 	synced time.Time
+	// mark is the host's last mark; nil if it has sent none.
+	mark atomic.Pointer[receivedMark]
+}
+
+// receivedMark is a mark of a follower and the time of its arrival.
+type receivedMark struct {
+	n  uint64
+	at time.Time
+}
+
+// addMark adds the follower's last mark to a response that says up to which time the follower
+// has everything.
+func (f *follower) addMark(r response, synced time.Time) response {
+	if m := f.mark.Load(); m != nil {
+		r.Mark, r.SyncedAfter = m.n, synced.Sub(m.at)
+	}
+	return r
 }
 
 // ReadsStore reports whether this host is to read the store. The oldest members of a
@@ -155,12 +173,12 @@
 		}
 		switch {
 		case u.snapshot != nil:
-			if f.push(response{Snapshot: u.snapshot, Current: current, Age: age}) {
+			if f.push(f.addMark(response{Snapshot: u.snapshot, Current: current, Age: age}, synced)) {
 				f.cursor, f.lastSent, f.synced = u.next, now, synced
 			}
 		case current && (now.Sub(f.lastSent) >= feedHeartbeat || !reads && synced.After(f.synced)):
 			// What a reader has been told is sent on at once, as its age adds up.
-			if f.push(response{Current: true, Age: age}) {
+			if f.push(f.addMark(response{Current: true, Age: age}, synced)) {
 				f.lastSent, f.synced = now, synced
 			}
 		}
@@ -211,11 +229,16 @@
 				continue
 			}
 			followed[address] = k
-			k.send(l.withConfiguration(frame{Follow: true}))
+			l.follow(k)
 		}
 	}
 }
 
+// follow subscribes to the directory of the peer of a link.
+func (l *Linker) follow(k *link) {
+	k.send(l.withConfiguration(frame{Follow: true, Mark: k.marks.next(time.Now())}))
+}
+
 // receiveUpdate applies an update of the directory or of upstreams' limits from the peer of a
 // link. It asks for the whole directory if the update does not apply to what this host has.
 func (l *Linker) receiveUpdate(k *link, r response) {
@@ -241,6 +264,23 @@
 		}
 	}
 	if r.Current {
-		l.directory.RecordPeerSync(now.Add(-r.Age))
+		l.recordSync(k, r, now)
+	}
+}
+
+// recordSync records up to which time the peer of a link has sent this host everything, and
+// marks the time anew if the last mark is old.
+func (l *Linker) recordSync(k *link, r response, now time.Time) {
+	at := now.Add(-r.Age)
+	if r.Mark != 0 {
+		marked, known := k.marks.time(r.Mark)
+		if !known {
+			return
+		}
+		at = marked.Add(r.SyncedAfter)
+		if k.marks.due(r.Mark, now) {
+			k.send(frame{Mark: k.marks.next(now)})
+		}
 	}
+	l.directory.RecordPeerSync(at)
 }
--- a/foxtaild/linker/link.go
+++ b/foxtaild/linker/link.go
@@ -47,8 +47,10 @@
 	out     chan frame
 	log     *slog.Logger
 
-	// onUpdate receives the peer's directory updates.
+	// onUpdate receives the peer's directory updates, and marks are the times that they refer
+	// to.
 	onUpdate func(*link, response)
+	marks    marks
 
 	mu sync.Mutex
 	// pending holds the admission requests that wait for a decision, by ID. awaited
--- a/foxtaild/linker/messages.go
+++ b/foxtaild/linker/messages.go
@@ -32,6 +32,9 @@
 	Fetch bool
 	// Follow subscribes to the directory: a snapshot now, then every change.
 	Follow bool
+	// Mark numbers a moment at which the host sent it; 0 if the frame marks none. The
+	// directory's updates name the last one that has arrived.
+	Mark uint64
 	// Deltas reports, beside Fetch or Follow, that the host understands deltas of the
 	// configuration. Version and Digest are those of its configuration, 0 if it has none.
 	Deltas          bool
@@ -63,6 +66,12 @@
 	// sender read from the store; the store last responded Age ago.
 	Current bool
 	Age     time.Duration
+	// Mark is the receiver's last mark that has arrived at the sender, and SyncedAfter the
+	// time from then to the store's last response, which may be negative. Unlike Age, they
+	// tell how old an update is that was on its way for long. Mark is 0 from hosts of
+	// builds without marks.
+	Mark        uint64
+	SyncedAfter time.Duration
 }
 
 // encodeSnapshot encodes a snapshot as a gob stream of its own.
--- a/foxtaild/linker/server.go
+++ b/foxtaild/linker/server.go
@@ -91,6 +91,9 @@
 				_ = fol.push(response{Snapshot: u.snapshot})
 			}
 		}
+		if f.Mark != 0 {
+			fol.mark.Store(&receivedMark{f.Mark, time.Now()})
+		}
 		if f.Follow {
 			l.mu.Lock()
 			if _, follows := l.followers[fol]; !follows {
