linker, detector: a host that the store refuses follows its peers

What callers saw: a host that reads the store for others and that the store turns away, or that is cut off from the store alone, went on sending requests to upstreams that had said that they leave, for as long as the refusal lasted.

Cause, of two parts. A host compared its position in the store with those of its peers as they were at the last change of the membership: the view is derived anew only then, and what a member has read is not such a change. So it found no peer ahead of it, and neither did a host that refuses requests until it has the newest configuration of the fleet. And a reader of the store was fed by nobody, so nothing else could tell it.

TestReaderThatTheStoreRefusesFollowsItsPeers failed in both cases on the code before, after 30 s.

Change: the detector compares positions as they are now, every 200 ms. Readers of a region feed each other.

Measured: both cases pass in under 3 s, with the rest of the package's tests.

--- a/foxtaild/linker/fleet.go
+++ b/foxtaild/linker/fleet.go
@@ -64,11 +64,12 @@
 }
 
 // sources returns the addresses of the hosts that feed the host at an address: the readers of
-// its failure domain, or those of the region if it is one of them.
+// its failure domain, or those of the region if it is one of them. Hosts that read the store
+// feed each other, as the store may refuse one of them.
 func (v *view) sources(address string) []string {
 	switch {
 	case v.readsStore(address):
-		return nil
+		return slices.DeleteFunc(slices.Clone(v.storeReaders), func(a string) bool { return a == address })
 	case v.isReader(address):
 		return v.storeReaders
 	default:
--- a/foxtaild/linker/gossip.go
+++ b/foxtaild/linker/gossip.go
@@ -145,6 +145,7 @@
 			l.sendPackets(l.detector.Tick(time.Now()), crashMessage{})
 		}
 		l.updateView(time.Now())
+		l.comparePeers(time.Now())
 		next := l.detector.NextTick()
 		if push || l.detector.Changes() != l.seenChanges || !l.wasSettled {
 			next = tickedAt
--- a/foxtaild/linker/linker.go
+++ b/foxtaild/linker/linker.go
@@ -66,8 +66,11 @@
 	home homeHosts
 	// seq is the ID of the last admission request.
 	seq atomic.Uint64
-	// announced is the newest version of the configuration that another host has.
-	announced atomic.Uint64
+	// announced is the newest version of the configuration that another host has, and
+	// current the host that has read the store furthest, as of comparedAt.
+	announced  atomic.Uint64
+	current    atomic.Pointer[currentPeer]
+	comparedAt time.Time
 	// leaving is closed by Leave.
 	leaving chan struct{}
 	// ctx is done when Run ends; cancel cancels it.
--- a/foxtaild/linker/peers.go
+++ b/foxtaild/linker/peers.go
@@ -19,9 +19,9 @@
 	fetchInterval = 200 * time.Millisecond
 	// fetchTimeout bounds the time to connect to a peer for its snapshot.
 	fetchTimeout = time.Second
-	// storeStaleAfter is how long after the store's last response a peer's
-	// snapshot is fetched.
-	storeStaleAfter = 2500 * time.Millisecond
+	// storeStaleRatio is the fraction of the update deadline after the store's last response
+	// after which a peer's snapshot is fetched. The store holds a reader's call for up to 0.4.
+	storeStaleRatio = 0.5
 )
 
 // sendSummaries sends summaries to the coordinators of other failure domains
@@ -88,29 +88,46 @@
 	}
 }
 
+// currentPeer is a live member that this host should fetch the directory from, if ok is set.
+type currentPeer struct {
+	detector.Member
+	ok bool
+}
+
 // mostCurrentPeer returns the live member that has read the store furthest among
 // those that have a newer configuration than this host or, if the store does not
 // respond to this host, a later position.
-func (l *Linker) mostCurrentPeer() (best detector.Member, ok bool) {
-	at := l.directory.Position()
-	own := detector.Member{Era: at.Era, Revision: at.Revision}
-	if t := l.directory.Table(); t != nil {
-		own.Version = t.Version()
+func (l *Linker) mostCurrentPeer() (detector.Member, bool) {
+	p := l.current.Load()
+	if p == nil || !p.ok || !l.lagsBehind(p.Member) {
+		return detector.Member{}, false
 	}
-	stale := !l.directory.Loaded() || l.directory.StoreStale(time.Now(), storeStaleAfter)
-	newest := uint64(0)
-	defer func() { l.announced.Store(newest) }()
-	for _, m := range l.Members() {
-		if m.Status != detector.Alive {
-			continue
-		}
-		newest = max(newest, m.Version)
-		newer := m.Version > own.Version || stale && m.ComparePosition(own) > 0
-		if newer && (!ok || m.ComparePosition(best) > 0) {
-			best, ok = m, true
-		}
+	return p.Member, true
+}
+
+// lagsBehind reports whether a member has a newer configuration than this host or, if the store
+// does not respond to this host, a later position.
+func (l *Linker) lagsBehind(m detector.Member) bool {
+	version, _ := l.directory.Configuration()
+	if m.Version > version {
+		return true
+	}
+	at := l.directory.Position()
+	staleAfter := time.Duration(storeStaleRatio * float64(l.settings.UpdateDeadline))
+	return m.ComparePosition(detector.Member{Era: at.Era, Revision: at.Revision}) > 0 &&
+		(!l.directory.Loaded() || l.directory.StoreStale(time.Now(), staleAfter))
+}
+
+// comparePeers looks for the most current member, once per fetchInterval. Only the goroutine
+// that owns the detector may call it.
+func (l *Linker) comparePeers(now time.Time) {
+	if now.Sub(l.comparedAt) < fetchInterval {
+		return
 	}
-	return best, ok
+	l.comparedAt = now
+	best, newest, ok := l.detector.MostCurrent(l.lagsBehind)
+	l.current.Store(&currentPeer{best, ok})
+	l.announced.Store(newest)
 }
 
 // Behind reports whether another host has a newer configuration than this one, as far as this
--- a/scheduler/detector/detector.go
+++ b/scheduler/detector/detector.go
@@ -118,6 +118,23 @@
 	d.self.Version, d.self.Era, d.self.Revision = version, era, revision
 }
 
+// MostCurrent returns the live member that has read the store furthest among those for
+// which a condition holds, and the newest version of the configuration that any live member
+// has. Unlike the rest of a record, what a member has read changes without a change of the
+// view.
+func (d *Detector) MostCurrent(condition func(Member) bool) (best Member, newest uint64, ok bool) {
+	for _, e := range d.members {
+		if e.Status != Alive {
+			continue
+		}
+		newest = max(newest, e.Version)
+		if condition(e.Member) && (!ok || e.ComparePosition(best) > 0) {
+			best, ok = e.Member, true
+		}
+	}
+	return best, newest, ok
+}
+
 // Members returns all members except this host, sorted by ID.
 func (d *Detector) Members() []Member {
 	list := make([]Member, 0, len(d.members))
