forwarder: a refusal of another request says nothing of this one

Cause: a response that says 'not run' or 'wrong upstream' counted as the answer to the request at hand whatever request it named.

Change: a refusal that names another request is skipped like any response to another request, and the response at hand is awaited. One that names none counts only as the first response on a new connection. If nothing else comes the outcome is unknown. A line in the log tells of each response that is skipped.

--- a/foxtaild/forwarder/attempt.go
+++ b/foxtaild/forwarder/attempt.go
@@ -269,8 +269,10 @@
 }
 
 // readResponseHead reads the head of the response. It skips interim responses and
-// responses to other requests.
+// responses to other requests. A refusal that names no request may be an earlier one,
+// repeated, unless it is the first response on the connection.
 func (a *attempt) readResponseHead() error {
+	first := !a.conn.Reused()
 	for range maxStrayResponses + 1 {
 		a.conn.SetReadLimit(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(a.conn.Reader(), &http.Request{Method: a.r.Method})
@@ -286,12 +288,14 @@
 			continue
 		}
 		info := a.codec.Decode(a.r, resp.StatusCode, resp.Header)
-		if info.MatchesRequest || info.NotRun || info.WrongUpstream {
+		if info.MatchesRequest || info.refuses() && !info.NamesOther && first {
 			a.response, a.info = resp, info
 			a.reach.recordResponse(a.upstream.Pool, a.conn.Reused(), time.Now())
 			a.reportTerms()
 			return nil
 		}
+		first = false
+		a.log.Info("response to another request", "id", a.r.ID, "upstream", a.upstream.ID, "status", resp.StatusCode, "refuses", info.refuses(), "reused", a.conn.Reused())
 		if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, int64(a.maxResponseBytes))); err != nil {
 			return err
 		}
--- a/foxtaild/forwarder/forwarder_test.go
+++ b/foxtaild/forwarder/forwarder_test.go
@@ -45,7 +45,7 @@
 
 func (testCodec) Decode(r *forwarder.Request, status int, h http.Header) forwarder.ResponseInfo {
 	return forwarder.ResponseInfo{
-		MatchesRequest: h.Get(idHeader) == r.ID, Authentic: h.Get(sealHeader) != "",
+		MatchesRequest: h.Get(idHeader) == r.ID, NamesOther: h.Get(idHeader) != "" && h.Get(idHeader) != r.ID, Authentic: h.Get(sealHeader) != "",
 		NotRun: h.Get(notRunHeader) != "", WrongUpstream: status == http.StatusMisdirectedRequest,
 	}
 }
--- a/foxtaild/forwarder/types.go
+++ b/foxtaild/forwarder/types.go
@@ -88,8 +88,9 @@
 // ResponseInfo is what a Codec reads from the status and headers of an
 // upstream's response.
 type ResponseInfo struct {
-	// MatchesRequest reports whether the response belongs to the request.
-	MatchesRequest bool
+	// MatchesRequest reports whether the response belongs to the request, and NamesOther
+	// whether it says that it belongs to another one.
+	MatchesRequest, NamesOther bool
 	// Authentic reports whether the response carries the upstream's proof that
 	// it sent it.
 	Authentic bool
@@ -103,6 +104,9 @@
 	Terms observer.Terms
 }
 
+// refuses reports whether the response says that its request has not run.
+func (i ResponseInfo) refuses() bool { return i.NotRun || i.WrongUpstream }
+
 // Dispatch holds what one attempt sends to an upstream in addition to the
 // request.
 type Dispatch struct {
