registrar: an interruption too short for entries to expire keeps no upstream that has left

What callers saw: an upstream whose entry had left the store without saying so before stayed in use for up to 2.2 s after any failed call of a host that reads the store, such as a watch that was cut. With a watch that hears nothing for a second before it is cut that is 3.2 s after the entry went: later than the small sites allow (2.5 s).

Cause: any failed call began a grace period, also while the store was sound for all others.

Change: only an outage counts in which entries can expire: two heartbeats, as the store removes an entry after three without one, and one may be due just before. It lasts from the store's last response, also one to a peer that feeds this host.

Weighed: entries that the store drops sooner are not kept now.

--- a/foxtaild/directory/directory.go
+++ b/foxtaild/directory/directory.go
@@ -39,9 +39,9 @@
 	kept map[string]time.Time
 }
 
-// New returns an empty directory.
-func New(log *slog.Logger) *Directory {
-	return &Directory{log: log, registrar: registrar.New()}
+// New returns an empty directory. The options are those of its registrar.
+func New(log *slog.Logger, opts ...registrar.Option) *Directory {
+	return &Directory{log: log, registrar: registrar.New(opts...)}
 }
 
 // Table returns the configuration in force, or nil before the first.
@@ -126,6 +126,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.storeRespondedAt = now
+	d.registrar.MarkStoreAvailable(now)
 	d.prune(now)
 }
 
@@ -271,6 +272,7 @@
 	}
 	if at.After(d.storeRespondedAt) {
 		d.storeRespondedAt = at
+		d.registrar.MarkStoreAvailable(at)
 	}
 	d.prune(time.Now())
 }
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -58,9 +58,14 @@
 	evacuated map[string]time.Time
 	// kept holds the IDs of the records in their grace period.
 	kept map[string]bool
-	// storeDownAt is the last time at which the store could not be read.
-	storeDownAt time.Time
-	changes     uint64
+	// respondedAt is when the store last responded, and failedAt the last time after that at
+	// which it could not be read, zero if there is none.
+	respondedAt, failedAt time.Time
+	// lapse is the duration of the shortest outage in which entries may expire, and graceUntil
+	// the end of the grace period after the last such outage.
+	lapse      time.Duration
+	graceUntil time.Time
+	changes    uint64
 	// removed holds the entries that were removed since the value completeSince of
 	// changes.
 	removed       map[string]removal
@@ -98,20 +103,50 @@
 // leaving is kept after a restore of the store.
 const maxRemoved = 4096
 
+// Option configures a Registrar.
+type Option func(*Registrar)
+
+// WithLapse sets the duration of the shortest outage of the store in which the entries of live
+// upstreams may expire. By default it is 0.
+func WithLapse(d time.Duration) Option {
+	return func(r *Registrar) { r.lapse = d }
+}
+
 // New returns an empty directory.
-func New() *Registrar {
-	return &Registrar{
+func New(opts ...Option) *Registrar {
+	r := &Registrar{
 		records: make(map[string]*record), kept: make(map[string]bool), evacuated: make(map[string]time.Time), removed: make(map[string]removal),
 		left: make(map[string]int64), departed: make(map[string]int64), held: make(map[string]Entry),
 		versions: make(map[poolVersion]int),
 	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// MarkStoreUnavailable records that the store could not be read at a time. Entries that
+// disappear within the grace period after an outage may have expired for that reason. An
+// outage lasts from the store's last response, and counts if it is long enough for that.
+func (r *Registrar) MarkStoreUnavailable(now time.Time) { r.failedAt = now }
+
+// MarkStoreAvailable records that the store responded at a time, to this host or to another.
+func (r *Registrar) MarkStoreAvailable(at time.Time) {
+	if !at.After(r.respondedAt) {
+		return
+	}
+	r.endOutage(at)
+	r.respondedAt = at
+	if at.After(r.failedAt) {
+		r.failedAt = time.Time{}
+	}
 }
 
-// MarkStoreUnavailable records that the store could not be read at a time.
-// Entries that disappear within the grace period after it may have expired for
-// that reason.
-func (r *Registrar) MarkStoreUnavailable(now time.Time) {
-	r.storeDownAt = now
+// endOutage sets the grace period after an outage that ends now, if there is one.
+func (r *Registrar) endOutage(now time.Time) {
+	if !r.failedAt.IsZero() && now.Sub(r.respondedAt) >= r.lapse {
+		r.graceUntil = r.failedAt.Add(outageGrace)
+	}
 }
 
 // Put adds or updates a published entry.
@@ -145,13 +180,14 @@
 	if old == nil {
 		return
 	}
-	if !old.Leaving && !r.storeDownAt.IsZero() && now.Sub(r.storeDownAt) < outageGrace {
-		if old.expiresAt.IsZero() {
-			r.expire(old, r.storeDownAt.Add(outageGrace))
-		}
+	r.endOutage(now)
+	if old.Leaving || !now.Before(r.graceUntil) {
+		r.Forget(id)
 		return
 	}
-	r.Forget(id)
+	if old.expiresAt.IsZero() {
+		r.expire(old, r.graceUntil)
+	}
 }
 
 // expire sets the end of an entry's grace period.
--- a/scheduler/registrar/restore.go
+++ b/scheduler/registrar/restore.go
@@ -22,7 +22,7 @@
 //   - an entry that is missing has the grace period of a store outage;
 //   - an evacuation that is missing goes on for evacuationGrace.
 func (r *Registrar) BeginEra(now time.Time) {
-	r.storeDownAt = now
+	r.graceUntil = now.Add(outageGrace)
 	clear(r.departed)
 	clear(r.held)
 	r.departedUntil = now.Add(departedGrace)
