registrar, directory: hosts that feed each other come to rest

Since the readers of a region feed each other, a change of a cold upstream went back and forth between them for as long as both ran: the time that is left of a warm-up, or of a grace period, is later by the time on the way at each adoption, which counted as another change, and so did each update that changed nothing.

Times that differ by less than 0.1 s count as the same, and an update without any change is not passed on.

--- a/foxtaild/directory/snapshot.go
+++ b/foxtaild/directory/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -151,8 +152,13 @@
 		}
 		entries = append(entries, e)
 	}
+	before, evacuated := d.registrar.Changes(), d.registrar.Evacuated()
 	d.registrar.Adopt(entries, s.Removed, s.Full, now)
 	d.registrar.ReplaceEvacuations(s.Evacuated)
+	if d.listed && d.position == s.position() && d.registrar.Changes() == before && slices.Equal(d.registrar.Evacuated(), evacuated) {
+		// Hosts that feed each other would send it back and forth.
+		return nil
+	}
 	d.position = s.position()
 	d.listed = d.listed || s.Full
 	d.changes.Add(1)
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -20,6 +20,10 @@
 // remains usable; live upstreams publish again within two seconds.
 const outageGrace = 2200 * time.Millisecond
 
+// shiftTolerance is the difference up to which two times of an entry count as the same: hosts
+// send each other the time that is left, which is later by the time on the way.
+const shiftTolerance = 100 * time.Millisecond
+
 // Entry is the information that an upstream publishes about itself.
 type Entry struct {
 	ID      string
@@ -39,6 +43,14 @@
 	Born int64
 }
 
+// sameAs reports whether two entries differ by no more than the time on the way between hosts.
+func (e Entry) sameAs(o Entry) bool {
+	if !e.ColdUntil.IsZero() && !o.ColdUntil.IsZero() && o.ColdUntil.Sub(e.ColdUntil).Abs() < shiftTolerance {
+		o.ColdUntil = e.ColdUntil
+	}
+	return e == o
+}
+
 // record is an entry and its state in the directory.
 type record struct {
 	Entry
@@ -160,7 +172,7 @@
 	delete(r.departed, e.ID)
 	delete(r.held, e.ID)
 	old := r.records[e.ID]
-	if old != nil && old.Entry == e && old.expiresAt.IsZero() {
+	if old != nil && old.Entry.sameAs(e) && old.expiresAt.IsZero() {
 		return
 	}
 	r.changes++
@@ -300,8 +312,13 @@
 		return
 	}
 	until := l.ExpiresAt
-	if old != nil && !old.expiresAt.IsZero() && old.expiresAt.Before(until) {
-		until = old.expiresAt
+	if old != nil && !old.expiresAt.IsZero() {
+		if old.Entry.sameAs(l.Entry) && !until.Before(old.expiresAt.Add(-shiftTolerance)) {
+			return
+		}
+		if old.expiresAt.Before(until) {
+			until = old.expiresAt
+		}
 	}
 	r.Put(l.Entry)
 	r.expire(r.records[l.ID], until)
