registrar, linker: a leaving upstream stays unused when another host keeps its entry

Found by reading the changes of today: a host that had seen an upstream leaving took it into use again, for the rest of a grace period, when it received the entry from a host that had missed that and kept it. TestLeavingUpstreamStaysUnusedAtFedHosts fails without the change. A source can't be said to be synced later than now, after this host's clock has stood still.

--- a/foxtaild/directory/kept_test.go
+++ b/foxtaild/directory/kept_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// TestLeavingUpstreamStaysUnusedAtFedHosts has a host that has seen an upstream leaving receive
+// its entry from one that missed that, and where it is in its grace period.
+func TestLeavingUpstreamStaysUnusedAtFedHosts(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	a, fed := listedDirectory(t, log, 1, "left", "stays"), listedDirectory(t, log, 1, "left", "stays")
+	fed.Update(registrar.Position{Era: 1, Revision: 2}, func(r *registrar.Registrar) {
+		r.Put(registrar.Entry{ID: "left", Pool: "engines", Domain: "d", Slots: 6, Born: 1, Leaving: true})
+	})
+	a.RecordStoreFailure(now)
+	a.Replace(directory.Listing{Position: registrar.Position{Era: 1, Revision: 3}, Upstreams: []registrar.Entry{{ID: "stays"}}}, now)
+	s, _, _ := a.Snapshot(directory.Cursor{}, now)
+	if err := fed.Adopt(s, now); err != nil {
+		t.Fatal(err)
+	}
+	if _, usable := fed.Usable("left", now); usable {
+		t.Error("an upstream that was leaving is used again")
+	}
+}
+
 // TestRemovalStaysAtFedHosts has a host that knows of an upstream's removal receive everything
 // from one where the upstream is in its grace period.
 func TestRemovalStaysAtFedHosts(t *testing.T) {
--- a/foxtaild/linker/feed.go
+++ b/foxtaild/linker/feed.go
@@ -278,6 +278,10 @@
 			return
 		}
 		at = marked.Add(r.SyncedAfter)
+		if at.After(now) {
+			// This host's clock has stood still since the mark.
+			at = now
+		}
 		if k.marks.due(r.Mark, now) {
 			k.send(frame{Mark: k.marks.next(now)})
 		}
--- a/scheduler/registrar/registrar.go
+++ b/scheduler/registrar/registrar.go
@@ -305,12 +305,16 @@
 }
 
 // keep applies an entry that is in its grace period at another host. One that has been
-// removed here stays removed.
+// removed here stays removed, and one that this host has seen leaving is removed.
 func (r *Registrar) keep(l Listed, empty bool) {
 	old := r.records[l.ID]
 	if old == nil && !empty {
 		return
 	}
+	if old != nil && old.Leaving && old.Born == l.Born {
+		r.Forget(l.ID)
+		return
+	}
 	until := l.ExpiresAt
 	if old != nil && !old.expiresAt.IsZero() {
 		if old.Entry.sameAs(l.Entry) && !until.Before(old.expiresAt.Add(-shiftTolerance)) {
