--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -174,6 +174,7 @@
 var cases = map[string]func(l *lab) (broken bool, err error){
 	"cold":   cold,
 	"return": returning,
+	"seeds":  seeds,
 	"memory": memory,
 }
 
