--- a/review/lab/cold.go
+++ b/review/lab/cold.go
@@ -29,6 +29,7 @@
 		"version": version,
 		"route-table": []any{
 			map[string]any{"name": "r-notes", "host": "site.example", "prefix": "/notes/", "type": "streaming", "timeout-ms": 3000, "latency-goal-ms": 500, "priority": 1, "service": "pool", "attempts": 1, "anonymous": false, "sticky": true, "resumable": false, "target-gap-ms": 250, "allowed-regions": []string{}},
+			map[string]any{"name": "r-look", "host": "site.example", "prefix": "/look/", "type": "idempotent", "timeout-ms": 3000, "latency-goal-ms": 300, "priority": 2, "service": "desk", "attempts": 2, "anonymous": false, "sticky": false, "resumable": false, "allowed-regions": []string{}},
 			map[string]any{"name": "r-book", "host": "site.example", "prefix": "/book/", "type": "non_idempotent", "timeout-ms": 3000, "latency-goal-ms": 300, "priority": 2, "service": "desk", "attempts": 1, "anonymous": false, "sticky": false, "resumable": false, "allowed-regions": []string{}},
 		},
 		"services": []any{
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -175,6 +175,7 @@
 	"cold":   cold,
 	"return": returning,
 	"seeds":  seeds,
+	"poison": poison,
 	"memory": memory,
 }
 
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -19,11 +19,11 @@
 
 // arrival is a request that has reached a server.
 type arrival struct {
-	id      string
-	at      time.Time
-	ran     bool
-	tenant  string
-	address string
+	id, path string
+	at       time.Time
+	ran      bool
+	tenant   string
+	address  string
 }
 
 // server is a stand-in of a server of the platform.
@@ -40,9 +40,13 @@
 	store   *store
 	http    *http.Server
 	stopped chan struct{}
+	// crashing is the path of the request that crashes the server.
+	crashing string
 	// replaced is set once another process publishes under the same ID.
 	replaced atomic.Bool
 
+	crashOnce sync.Once
+
 	mu       sync.Mutex
 	seq      int
 	busy     chan struct{}
@@ -91,8 +95,10 @@
 // crash ends the server without a word: its connections are reset. The store removes its
 // entry after three heartbeats.
 func (s *server) crash() {
-	close(s.stopped)
-	_ = s.http.Close()
+	s.crashOnce.Do(func() {
+		close(s.stopped)
+		_ = s.http.Close()
+	})
 	time.AfterFunc(3*heartbeat, func() {
 		if !s.replaced.Load() {
 			s.store.remove("servers/" + s.id)
@@ -123,6 +129,10 @@
 		return
 	}
 	n := s.arrive(r, id)
+	if s.crashing != "" && r.URL.Path == s.crashing {
+		s.crash()
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -165,7 +175,7 @@
 func (s *server) arrive(r *http.Request, id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, arrival{id: id, at: time.Now(), tenant: r.Header.Get("Tenant"), address: r.RemoteAddr})
+	s.arrivals = append(s.arrivals, arrival{id: id, path: r.URL.Path, at: time.Now(), tenant: r.Header.Get("Tenant"), address: r.RemoteAddr})
 	return len(s.arrivals) - 1
 }
 
