review: case 7, have the request that crashes upstreams show it

Case 2 of the first review shows the rule on cold upstreams broken by machines without seeds. The case now sends a request that crashes upstreams after the settings have named live seeds.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,4 +9,4 @@
 	echo "build with the deploy file and review/build-2.sh first" >&2
 	exit 2
 fi
-exec target/review-rig-2 silent "$folder"
+exec target/review-rig-2 seeds "$folder"
--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -87,35 +87,47 @@
 	}
 }
 
-// startModels starts six machines and 18 model servers, which a poisonous request crashes.
+// startModels starts six machines and 18 model servers, which a poisonous request crashes
+// unless the disruption is left out.
 func (b *bench) startModels(dark bool) (hosts []*host, servers []*server, err error) {
+	hosts, servers = b.newModels(dark, b.trouble)
+	return hosts, servers, b.startHosts(hosts, seedsOf(hosts))
+}
+
+// newModels returns six machines that are not started and 18 model servers, which a poisonous
+// request may crash.
+func (b *bench) newModels(dark, poisoned bool) (hosts []*host, servers []*server) {
 	for _, zone := range []string{"mtl-a", "mtl-a", "qc-a", "qc-a", "qc-a", "mtl-b"} {
 		hosts = append(hosts, b.fleet.newHost(b.net, zone))
 	}
-	seeds := []string{control(hosts[0].ip), control(hosts[2].ip), control(hosts[5].ip)}
-	for _, h := range hosts {
-		if err := b.fleet.writeSettings(h, seeds); err != nil {
-			return nil, nil, err
-		}
-	}
 	for range 6 {
 		for _, z := range zones {
 			servers = append(servers, b.server(serverOptions{
 				service: modelService, zone: z[0], slots: 6, stream: true, down: downTime, dark: dark,
 				work: func(*http.Request, []byte) time.Duration { return 40 * time.Millisecond },
 				crashes: func(body []byte) (time.Duration, bool) {
-					return poisonTime, b.trouble && strings.HasPrefix(string(body), poisonBody)
+					return poisonTime, poisoned && strings.HasPrefix(string(body), poisonBody)
 				},
 			}))
 		}
 	}
+	return hosts, servers
+}
+
+// seedsOf returns the control-plane addresses of one machine of each zone.
+func seedsOf(hosts []*host) []string {
+	return []string{control(hosts[0].ip), control(hosts[2].ip), control(hosts[5].ip)}
+}
+
+// startHosts starts machines with some seeds and waits until they are ready.
+func (b *bench) startHosts(hosts []*host, seeds []string) error {
 	for _, h := range hosts {
+		if err := b.fleet.writeSettings(h, seeds); err != nil {
+			return err
+		}
 		if err := b.fleet.start(h); err != nil {
-			return nil, nil, err
+			return err
 		}
 	}
-	if err := b.fleet.awaitReady(10*time.Second, hosts...); err != nil {
-		return nil, nil, err
-	}
-	return hosts, servers, nil
+	return b.fleet.awaitReady(10*time.Second, hosts...)
 }
